--- /dev/null
+++ b/dykemux/__init__.py
@@ -0,0 +1,1 @@
+"""dykemux: the real proxy round flintplank's decisions."""
--- /dev/null
+++ b/dykemux/config.py
@@ -0,0 +1,155 @@
+"""What a proxy is told at start: four variables and one JSON file, checked once and frozen.
+
+`LB_NAME`, `LB_LISTEN` and `LB_DISCOVERY` say who and where; the file that `LB_CONFIG` names holds `seed`,
+`limits`, `known` and `settings`.  Anything missing or malformed is a `ConfigError` whose one line names the
+field.
+"""
+
+from __future__ import annotations
+
+import json
+import resource
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from dykemux.discovery import BadList, Members, members_of
+from flintplank.interface import Settings
+from flintplank.wire import Fields, WireError, settings_of
+
+MB = 1 << 20
+BASE_MB = 48  # of memory for the interpreter, the module and the connections' own books
+BODY_SHARE = 0.6  # of the rest for bodies and held answers; parsing and garbage take their part too
+OWN_DESCRIPTORS = 32  # standard streams, event loop, listener, discovery, and some to spare
+BACKEND_SHARE = 0.45  # of the other descriptors; so no crowd of clients can take what backends need
+CROWD_SHARE = 0.1  # over what clients may hold, only to tell the newest that it is refused
+
+
+class ConfigError(Exception):
+    """One line for the operator."""
+
+
+@dataclass(slots=True, frozen=True)
+class Config:
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    seed: int
+    settings: Settings
+    known: Members
+    conn_idle_ms: float  # a backend closes a connection that stood idle for so long
+    drain_grace_ms: float  # and nothing new may be written to it so long after its leave was told
+    body_bytes: int  # of bodies and held answers together
+    client_sockets: int
+    crowd_sockets: int
+    backend_sockets: int
+
+
+def load(environ: Mapping[str, str]) -> Config:
+    name = _variable(environ, "LB_NAME")
+    listen = _address(environ, "LB_LISTEN")
+    discovery = _address(environ, "LB_DISCOVERY")
+    path = _variable(environ, "LB_CONFIG")
+    try:
+        told = json.loads(Path(path).read_bytes())
+    except OSError as error:
+        raise ConfigError(f"LB_CONFIG: {error.strerror or error}: {path}") from None
+    except (ValueError, RecursionError):
+        raise ConfigError(f"LB_CONFIG: not JSON: {path}") from None
+    if not isinstance(told, dict):
+        raise ConfigError("LB_CONFIG: not a JSON object")
+    limits = _object(told, "limits")
+    memory, sockets = _positive(limits, "limits.memory_mb"), int(_positive(limits, "limits.sockets"))
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft != resource.RLIM_INFINITY:
+        sockets = min(sockets, soft)
+    if sockets < 2 * OWN_DESCRIPTORS:
+        raise ConfigError(f"limits.sockets: at least {2 * OWN_DESCRIPTORS} are needed, not {sockets}")
+    if memory <= BASE_MB:
+        raise ConfigError(f"limits.memory_mb: more than {BASE_MB} are needed, not {memory:g}")
+    fields = Fields(0, dict(_flat("", _object(told, "settings"))))
+    try:
+        settings = settings_of(fields)
+        conn_idle = fields.number("Limits.ConnIdleMs", 15000.0)
+        grace = fields.number("Rules.DrainGraceMs", 1000.0)
+    except WireError as error:
+        raise ConfigError(f"settings: {error}") from None
+    try:
+        known = members_of(_object(told, "known"))
+    except BadList as error:
+        raise ConfigError(f"known: {error}") from None
+    shared = sockets - OWN_DESCRIPTORS
+    backend, crowd = int(shared * BACKEND_SHARE), int(shared * CROWD_SHARE)
+    return Config(
+        name,
+        listen,
+        discovery,
+        _seed(told),
+        settings,
+        known,
+        conn_idle,
+        grace,
+        int((memory - BASE_MB) * BODY_SHARE * MB),
+        shared - backend - crowd,
+        crowd,
+        backend,
+    )
+
+
+def _variable(environ: Mapping[str, str], name: str) -> str:
+    value = environ.get(name, "")
+    if not value:
+        raise ConfigError(f"{name}: missing")
+    return value
+
+
+def _address(environ: Mapping[str, str], name: str) -> tuple[str, int]:
+    text = _variable(environ, name)
+    host, _, port = text.rpartition(":")
+    if not host or not (port.isascii() and port.isdigit()) or not 0 <= int(port) < 65536:
+        raise ConfigError(f"{name}: not HOST:PORT: {text[:80]!r}")
+    return host.strip("[]"), int(port)
+
+
+def _object(told: dict[str, Any], name: str) -> dict[str, Any]:
+    value = told.get(name)
+    if not isinstance(value, dict):
+        raise ConfigError(f"{name}: {'missing' if value is None else 'not an object'}")
+    return value
+
+
+def _positive(limits: dict[str, Any], path: str) -> float:
+    value = limits.get(path.rpartition(".")[2])
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 < value < 1e9:
+        what = "missing" if value is None else f"not a positive number: {value!r:.40}"
+        raise ConfigError(f"{path}: {what}")
+    return value
+
+
+def _seed(told: dict[str, Any]) -> int:
+    try:
+        return int(told.get("seed", ""), 16)
+    except (TypeError, ValueError):
+        raise ConfigError(f"seed: not a hexadecimal number: {told.get('seed')!r:.40}") from None
+
+
+def _flat(path: str, value: object) -> Iterator[tuple[str, str]]:
+    """The settings' JSON as the path=value pairs that the simulator's wire carries."""
+    if isinstance(value, dict):
+        for name, part in value.items():
+            yield from _flat(f"{path}.{name}" if path else name, part)
+    elif isinstance(value, list) and any(isinstance(part, dict) for part in value):
+        yield f"{path}.count", str(len(value))
+        for place, part in enumerate(value):
+            yield from _flat(f"{path}.{place}", part)
+    elif isinstance(value, list):
+        yield path, ",".join(str(part) for part in value)
+        if not value:
+            yield f"{path}.count", "0"
+    elif isinstance(value, bool):
+        yield path, "true" if value else "false"
+    elif isinstance(value, float) and value.is_integer():
+        yield path, str(int(value))
+    elif value is not None:
+        yield path, str(value)
--- /dev/null
+++ b/dykemux/discovery.py
@@ -0,0 +1,248 @@
+"""The list of backends: what discovery writes, and the calls that ask it.
+
+A call tells what it was told and, when it fails, None (FAILED) once.  Nothing of a malformed answer is passed
+on, so the old list stays in force.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import math
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, cast
+
+import httptools
+
+from flintplank.interface import State
+
+LINE_MOST = 4 << 20  # bytes of one line: some 30,000 backends
+WAIT_S = 8.0  # for the head of an answer: a call may wait its turn, and connecting counts
+SILENCE_S = 4.5  # an idle watch says something every 2 s, so one silent for longer is broken
+STATES = {"active": State.UP, "leaving": State.DRAINING, "left": State.GONE}
+
+log = logging.getLogger(__name__)
+
+
+class BadList(ValueError):
+    """Malformed discovery data."""
+
+
+@dataclass(slots=True, frozen=True)
+class Member:
+    name: str
+    address: tuple[str, int] | None  # None: the entry of one that has left may lack it
+    zone: str
+    kind: str
+    cell: int
+    state: State
+    weight: float
+    since_ms: float
+
+
+@dataclass(slots=True, frozen=True)
+class Members:
+    """One message of discovery: the whole list, or the entries that changed."""
+
+    index: int
+    whole: bool
+    entries: list[Member]
+
+
+def members_of(told: object) -> Members:
+    if not isinstance(told, dict):
+        raise BadList("not an object")
+    index, whole, entries = told.get("index"), told.get("snapshot"), told.get("endpoints")
+    if isinstance(index, bool) or not isinstance(index, int):
+        raise BadList(f"index: not a whole number: {index!r:.40}")
+    if not isinstance(whole, bool):
+        raise BadList(f"snapshot: neither true nor false: {whole!r:.40}")
+    if not isinstance(entries, list):
+        raise BadList("endpoints: not a list")
+    return Members(index, whole, [_member(entry) for entry in entries])
+
+
+def _member(entry: object) -> Member:
+    if not isinstance(entry, dict):
+        raise BadList(f"endpoints: not an object: {entry!r:.40}")
+    name = _text(entry, "name", None)
+    state = STATES.get(_text(entry, "status", None))
+    if state is None:
+        raise BadList(f"status: unknown: {entry.get('status')!r:.40}")
+    return Member(
+        name,
+        _address(entry, state),
+        _text(entry, "zone", ""),
+        _text(entry, "type", ""),
+        int(_number(entry, "group", 0.0)),
+        state,
+        _number(entry, "weight", 1.0),
+        _number(entry, "since_ms", 0.0),
+    )
+
+
+def _text(entry: dict[str, Any], field: str, default: str | None) -> str:
+    value = entry.get(field, default)
+    if not isinstance(value, str) or (default is None and not value):
+        raise BadList(f"{field}: not a name: {value!r:.40}")
+    return value
+
+
+def _number(entry: dict[str, Any], field: str, default: float) -> float:
+    value = entry.get(field, default)
+    if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+        raise BadList(f"{field}: not a number: {value!r:.40}")
+    return value
+
+
+def _address(entry: dict[str, Any], state: State) -> tuple[str, int] | None:
+    if "address" not in entry and state is State.GONE:
+        return None
+    text = _text(entry, "address", None)
+    host, _, port = text.rpartition(":")
+    if not host or not (port.isascii() and port.isdigit()) or not 0 < int(port) < 65536:
+        raise BadList(f"address: not HOST:PORT: {text[:40]!r}")
+    return host.strip("[]"), int(port)
+
+
+class Discovery:
+    """Makes the calls and keeps the version that the next watch asks from."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        address: tuple[str, int],
+        index: int,
+        tell: Callable[[Members | None], None],
+    ) -> None:
+        self.loop = loop
+        self.address = address
+        self.index = index
+        self.tell = tell
+        self.calls: set[_Call] = set()
+
+    def watch(self) -> None:
+        for call in [call for call in self.calls if call.stream]:
+            call.close()  # a new watch takes the old one's place
+        self.calls.add(_Call(self, f"?stream=1&index={self.index}", True))
+
+    def fetch(self) -> None:
+        self.calls.add(_Call(self, "", False))
+
+    def close(self) -> None:
+        for call in list(self.calls):
+            call.close()
+
+    def took(self, members: Members) -> None:
+        self.index = members.index
+        self.tell(members)
+
+
+class _Call(asyncio.Protocol):
+    """One call on a connection of its own.  `over` makes its failure the only one."""
+
+    def __init__(self, owner: Discovery, query: str, stream: bool) -> None:
+        self.owner = owner
+        self.query = query
+        self.stream = stream
+        self.over = False
+        self.answered = False
+        self.buffer = bytearray()
+        self.searched = 0  # no line ends before this place in the buffer
+        self.parser = httptools.HttpResponseParser(self)
+        self.transport: asyncio.Transport | None = None
+        self.heard = self.checked = time.monotonic()
+        self.timer = owner.loop.call_later(1.0, self._check)
+        self.task = owner.loop.create_task(self._connect())
+
+    async def _connect(self) -> None:
+        try:
+            await self.owner.loop.create_connection(lambda: self, *self.owner.address)
+        except OSError as error:
+            self._fail(f"no connection: {error}")
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        if self.over:
+            self.transport.abort()
+            return
+        host, port = self.owner.address
+        head = f"GET /catalog/members{self.query} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n"
+        self.transport.write(head.encode())
+
+    def data_received(self, data: bytes) -> None:
+        self.heard = time.monotonic()
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._fail("malformed HTTP")
+
+    def on_headers_complete(self) -> None:
+        status = self.parser.get_status_code()
+        if status >= 200:
+            self.answered = status == 200
+            if not self.answered:
+                self._fail(f"answered {status}")
+
+    def on_body(self, data: bytes) -> None:
+        if self.over:
+            return
+        self.buffer += data
+        end = self.buffer.find(b"\n", self.searched) if self.stream else -1
+        while end >= 0 and not self.over:
+            line = bytes(self.buffer[:end])
+            del self.buffer[: end + 1]
+            if line.strip():
+                self._take(line)
+            end = self.buffer.find(b"\n")
+        self.searched = len(self.buffer)
+        if len(self.buffer) > LINE_MOST:  # guards memory: discovery gone mad must not take the proxy along
+            self._fail(f"a line of over {LINE_MOST} bytes")
+
+    def on_message_complete(self) -> None:
+        if not self.answered or self.over:
+            return
+        if self.stream:
+            self._fail("the watch ended")
+        elif self._take(bytes(self.buffer)):
+            self.close()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self._fail(f"connection lost: {error or 'ended'}")
+
+    def _take(self, text: bytes) -> bool:
+        try:
+            members = members_of(json.loads(text))
+        except (ValueError, RecursionError) as error:
+            self._fail(f"malformed data: {error}")
+            return False
+        self.owner.took(members)
+        return True
+
+    def _check(self) -> None:
+        """Silence is a failure too: a cut network says nothing."""
+        now = time.monotonic()
+        punctual, self.checked = now - self.checked < 2.0, now  # after a stall of our own, read first
+        if punctual and now - self.heard > (SILENCE_S if self.answered else WAIT_S):
+            self._fail("silent")
+        elif not self.over:
+            self.timer = self.owner.loop.call_later(1.0, self._check)
+
+    def _fail(self, why: str) -> None:
+        if not self.over:
+            log.info("discovery: %s", why)
+            self.close()
+            self.owner.tell(None)
+
+    def close(self) -> None:
+        self.over = True
+        self.timer.cancel()
+        self.buffer.clear()
+        self.owner.calls.discard(self)
+        if self.transport is not None:
+            self.transport.abort()
+        else:
+            self.task.cancel()
--- /dev/null
+++ b/dykemux/proxy.py
@@ -0,0 +1,303 @@
+"""The one caller of `Balancer.handle`: ids, clock, timers, and the lives of requests and attempts.
+
+Events wait in a queue, so that what an action causes never re-enters the module.  Every request gets one
+final answer: what a backend served, the module's Refuse or Fail, or, if it gives none, ours at the deadline.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import logging
+import time
+from collections import deque
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from dykemux.backends import Answer, Attempt, Node, Pool
+from dykemux.config import Config
+from dykemux.discovery import Discovery, Member, Members
+from dykemux.http1 import Budget
+from flintplank import interface as api
+from flintplank.choice import Balancer
+
+if TYPE_CHECKING:
+    from dykemux.clients import Client
+
+DEADLINE_MOST_MS = 3_600_000.0  # a client that would wait longer is taken to wait this long
+HINT_MOST_US = 60e6  # a dearer hint would fill the boards with one request
+
+log = logging.getLogger(__name__)
+
+
+@dataclass(slots=True)
+class Ask:
+    """What a client's head says, checked."""
+
+    head: bytes  # request line and header lines for a backend, without the time left
+    klass: str = ""
+    tenant: str = ""
+    key: bytes = b""
+    time_left_ms: float | None = None
+    hint_ms: float = 0.0
+    is_retry: bool = False
+    is_write: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Request:
+    ident: int
+    client: Client | None  # None once it has its answer or has left
+    head: bytes
+    body: bytes | bytearray
+    deadline: float
+    timer: asyncio.TimerHandle | None = None
+    attempts: list[Attempt] = field(default_factory=list)
+    out: int = 0
+    over: bool = False
+    streaming: Attempt | None = None
+    last: api.Outcome = api.Outcome.NOT_SENT
+
+
+def number_of(name: bytes) -> int:
+    """A stable number, the same at all proxies; 53 bits, as the simulator's keys have."""
+    return int.from_bytes(hashlib.blake2b(name, digest_size=8).digest()) >> 11
+
+
+class Proxy:
+    def __init__(self, loop: asyncio.AbstractEventLoop, config: Config) -> None:
+        self.loop = loop
+        self.settings = config.settings
+        self.tenants = {tenant.name for tenant in config.settings.tenants}
+        self.deadlines = {klass.name: klass.deadline_ms for klass in config.settings.classes}
+        self.deadline_most_ms = max(self.deadlines.values())
+        self.balancer = Balancer(config.settings, config.seed)
+        self.origin = time.time() - time.monotonic()  # wall clock at start; it never steps after
+        self.pool = Pool(loop, config, self)
+        self.discovery = Discovery(loop, config.discovery, config.known.index, self.told)
+        self.nodes: dict[int, Node] = {}
+        self.numbers: dict[str, int] = {}
+        self.requests: dict[int, Request] = {}  # those not over, or with attempts out
+        self.budget = Budget(config.body_bytes)
+        self.last_ident = 0
+        self.events: deque[api.Event] = deque()
+        self.telling = False
+        self._take_list(config.known, api.ListKind.CACHED)
+
+    def serves(self) -> bool:
+        return any(node.listed for node in self.nodes.values())
+
+    def tell(self, event: api.Event) -> None:
+        """Events in the order they happened; one that an action causes waits until its round is over."""
+        self.events.append(event)
+        if self.telling:
+            return
+        self.telling = True
+        try:
+            while self.events:
+                event = self.events.popleft()
+                try:
+                    actions = self.balancer.handle((self.origin + time.monotonic()) * 1000.0, event)
+                except Exception as error:  # no event may end the process; the deadline answers its request
+                    log.error("module: %s: %s on %.200r", type(error).__name__, error, event)
+                    continue
+                for action in actions:
+                    self._carry_out(action)
+                if isinstance(event, api.AttemptEnded | api.ClientGone):
+                    self._drop(event.request)
+        finally:
+            self.telling = False
+
+    def _carry_out(self, action: api.Action) -> None:
+        match action:
+            case api.StartAttempt(ident, backend, timeout_ms):
+                self._start(ident, backend, timeout_ms)
+            case api.Refuse(ident, retry_after_ms):
+                self._finish(ident, 503, retry_after_ms)
+            case api.Fail(ident):
+                self._finish(ident, 502, 0.0)
+            case api.SetTimer(token, delay_ms):
+                # a millisecond on top: the loop's clock may stand behind, and a timer must not come early
+                self.loop.call_later(delay_ms / 1000.0 + 0.001, self.tell, api.TimerFired(token))
+            case api.CancelAttempt(ident, number):
+                request = self.requests.get(ident)
+                if request and request.streaming is not request.attempts[number]:
+                    self.pool.give_up(request.attempts[number], api.Outcome.CANCELLED)
+            case api.WatchList():
+                self.discovery.watch()
+            case api.FetchList():
+                self.discovery.fetch()
+            case api.CloseIdle(backend):
+                if backend in self.nodes:
+                    self.pool.close_idle(self.nodes[backend])
+            case api.Probe(backend):
+                self.tell(api.ProbeEnded(backend, api.Outcome.NOT_SENT))  # no probing on this site
+
+    # The life of a request.
+
+    def arrive(self, client: Client, ask: Ask, body: bytes | bytearray) -> Request:
+        """A request whose last byte is in.  From here on one final answer is owed."""
+        now = time.monotonic()
+        left_ms = ask.time_left_ms
+        if left_ms is None:
+            left_ms = self.deadlines.get(ask.klass, self.deadline_most_ms)
+        self.last_ident += 1
+        request = Request(self.last_ident, client, ask.head, body, now + left_ms / 1000.0)
+        self.requests[request.ident] = request
+        request.timer = self.loop.call_later(left_ms / 1000.0, self._deadline, request)
+        self.tell(
+            api.Arrival(
+                request.ident,
+                ask.klass,
+                left_ms,
+                ask.tenant if ask.tenant in self.tenants else "",  # guards the module's books by tenant
+                number_of(ask.key) if ask.key else None,
+                ask.hint_ms,
+                ask.is_retry,
+                ask.is_write,
+            )
+        )
+        return request
+
+    def _start(self, ident: int, backend: int, timeout_ms: float) -> None:
+        request, now = self.requests[ident], time.monotonic()
+        number, node = len(request.attempts), self.nodes.get(backend)
+        ends_at = min(request.deadline, now + timeout_ms / 1000.0) if timeout_ms else request.deadline
+        attempt = Attempt(request, number, node or Node(backend, "", ("", 0), 0.0), now, ends_at)
+        request.attempts.append(attempt)
+        barred = request.over or request.streaming or number >= self.settings.max_attempts
+        if barred or node is None or now >= ends_at:
+            attempt.ended = True
+            self.tell(api.AttemptEnded(ident, number, backend, api.Outcome.NOT_SENT, 0.0, request.over))
+            return
+        if ends_at < request.deadline:
+            self.loop.call_later(ends_at - now, self.pool.give_up, attempt, api.Outcome.TIMEOUT)
+        self.pool.start(attempt)
+
+    def attempt_ended(self, attempt: Attempt, outcome: api.Outcome, answer: Answer | None) -> None:
+        request, node = attempt.request, attempt.node
+        request.last = outcome
+        if attempt is request.streaming:
+            self._over(request)
+        elif answer and request.client and not request.streaming:
+            request.client.answer(200, answer.lines, answer.body)
+            self._over(request)
+        if request.over and not request.out and request.timer:
+            request.timer.cancel()
+        ids, took_ms = (request.ident, attempt.number, node.number), self._since(attempt)
+        self.tell(api.AttemptEnded(*ids, outcome, took_ms, request.over))
+        self._forget(node)
+
+    def stream_begins(self, attempt: Attempt, lines: bytes, length: int | None) -> Client | None:
+        """Pass a large answer on as it comes: it is the client's now, and its deadline is lifted."""
+        request, client = attempt.request, attempt.request.client
+        if client is None or request.streaming or attempt.link is None:
+            return None
+        request.streaming = attempt
+        if request.timer:
+            request.timer.cancel()
+        for other in request.attempts:
+            if other is not attempt:
+                self.pool.give_up(other, api.Outcome.CANCELLED)
+        client.stream(attempt.link, lines, length)
+        ids = (request.ident, attempt.number, attempt.node.number)
+        self.tell(api.StreamStarted(*ids, self._since(attempt)))
+        return client
+
+    def _since(self, attempt: Attempt) -> float:
+        return (time.monotonic() - attempt.started) * 1000.0
+
+    def client_gone(self, request: Request) -> None:
+        """Nobody waits any more.  What is out goes on to its deadline: giving up stops no backend's work, and
+        the connection is worth keeping.
+        """
+        if request.over:
+            return
+        self._over(request)
+        if request.streaming:
+            self.pool.give_up(request.streaming, api.Outcome.CANCELLED)
+        self.tell(api.ClientGone(request.ident))
+
+    def _deadline(self, request: Request) -> None:
+        left = request.deadline - time.monotonic()
+        if left > 0.0005:  # the loop's clock stands still while it works, so a timer may come early
+            request.timer = self.loop.call_later(left, self._deadline, request)
+            return
+        for attempt in request.attempts:
+            self.pool.give_up(attempt, api.Outcome.TIMEOUT)
+        if not request.over:  # guards rule 1: the module holds it, or failed on it
+            self._finish(request.ident, 504, 0.0)
+            self.tell(api.ClientGone(request.ident))
+
+    def _finish(self, ident: int, status: int, retry_after_ms: float) -> None:
+        request = self.requests.get(ident)
+        if request is None or request.over or request.streaming:
+            return
+        if status == 502 and request.last is api.Outcome.TIMEOUT:
+            status = 504
+        client = request.client
+        self._over(request)
+        if client:
+            advice = b"retry-after: %.3f\r\n" % (retry_after_ms / 1000.0) if retry_after_ms else b""
+            client.answer(status, advice)
+        self._drop(ident)
+
+    def _over(self, request: Request) -> None:
+        request.over, request.client = True, None
+        if not request.out and request.timer:
+            request.timer.cancel()
+
+    def _drop(self, ident: int) -> None:
+        request = self.requests.get(ident)
+        if request and request.over and not request.out:
+            del self.requests[ident]
+            self.budget.give(len(request.body))
+            request.attempts.clear()
+
+    # The list.
+
+    def told(self, members: Members | None) -> None:
+        if members is None:
+            self.tell(api.BackendList(api.ListKind.FAILED))
+        else:
+            self._take_list(members, api.ListKind.FULL if members.whole else api.ListKind.CHANGES)
+
+    def _take_list(self, members: Members, kind: api.ListKind) -> None:
+        infos = [self._take(member) for member in members.entries]
+        if members.whole:
+            up = {info.backend for info in infos}
+            for node in [node for node in self.nodes.values() if node.number not in up]:
+                self._tell_off(node)
+        self.tell(api.BackendList(kind, infos))
+
+    def _take(self, member: Member) -> api.BackendInfo:
+        number = self.numbers.get(member.name)
+        if number is None:
+            number = number_of(member.name.encode())
+            while number in self.nodes:  # another name's number
+                number = number_of(b"%d" % number)
+        node = self.nodes.get(number)
+        if member.state is not api.State.UP or member.address is None:
+            if node:
+                self._tell_off(node)
+        elif node is None:
+            self.numbers[member.name] = number
+            self.nodes[number] = Node(number, member.name, member.address, member.since_ms)
+        else:
+            node.listed = True
+            if (node.address, node.since_ms) != (member.address, member.since_ms):
+                node.address, node.since_ms = member.address, member.since_ms
+                self.pool.close_idle(node)  # they lead to what it was before
+        return api.BackendInfo(
+            number, member.state, member.zone, member.kind, member.cell, member.weight, member.since_ms
+        )
+
+    def _tell_off(self, node: Node) -> None:
+        if node.listed:
+            node.listed, node.told_off_at = False, time.monotonic()
+            self.pool.close_idle(node)
+            self._forget(node)
+
+    def _forget(self, node: Node) -> None:
+        if not node.listed and not node.out and self.nodes.get(node.number) is node:
+            del self.nodes[node.number], self.numbers[node.name]
--- /dev/null
+++ b/flintplank/adapter.py
@@ -0,0 +1,74 @@
+"""Speaks the operators' wire on standard input and output; hosts many isolated balancers, decides nothing."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Iterable, Iterator
+from typing import TextIO
+
+from flintplank.choice import Balancer
+from flintplank.wire import EVENTS, WireError, fields_of, render, settings_of
+
+
+class Adapter:
+    """Turns one batch of lines into one reply."""
+
+    def __init__(self) -> None:
+        self.hosted: dict[int, Balancer] = {}
+
+    def replies(self, lines: Iterable[str]) -> Iterator[str]:
+        rows = enumerate(lines, 1)
+        for number, line in rows:
+            head, _, rest = line.rstrip("\n").partition(" ")
+            if not head:
+                continue
+            if head != "begin_batch":
+                raise WireError(number, f"expected begin_batch, got {head[:40]!r}")
+            yield self._batch(fields_of(number, rest).number("NowMs"), rows)
+
+    def _batch(self, now: float, rows: Iterator[tuple[int, str]]) -> str:
+        reply: list[str] = []
+        for number, line in rows:
+            head, _, rest = line.rstrip("\n").partition(" ")
+            if head == "over_to_you":
+                reply.append("ok\n")
+                return "\n".join(reply)
+            fields = fields_of(number, rest)
+            who = fields.integer("Who")
+            if head == "born":
+                self.hosted[who] = Balancer(settings_of(fields), fields.integer("Nonce64"))
+                continue
+            if who not in self.hosted:
+                raise WireError(number, f"Who: no instance {who} was born")
+            if head == "kill":
+                del self.hosted[who]
+                continue
+            if head not in EVENTS:
+                raise WireError(number, f"unknown message {head[:40]!r}")
+            event = EVENTS[head](fields, rows)
+            if event is None:
+                continue
+            try:
+                reply.extend(render(who, action) for action in self.hosted[who].handle(now, event))
+            except Exception as error:  # the wire's own word for a failure of the decision code
+                words = " ".join(f"{type(error).__name__}: {error}".split())
+                reply.append(f"give_in Who={who} Words={words}")
+        raise WireError(None, "input ended inside a batch")
+
+
+def run(source: TextIO, sink: TextIO) -> int:
+    try:
+        for reply in Adapter().replies(source):
+            sink.write(reply)
+            sink.flush()
+    except WireError as error:
+        print(f"flintplank: {error}", file=sys.stderr)
+        return 2
+    except UnicodeDecodeError as error:
+        print(f"flintplank: input is not UTF-8: {error.reason}", file=sys.stderr)
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(run(sys.stdin, sys.stdout))
--- /dev/null
+++ b/flintplank/choice.py
@@ -0,0 +1,451 @@
+"""Every decision flintplank takes.  Its public interface: flintplank/interface.py.
+
+Constants, board, learned speed, weights and turns, a request's life, then list, drains and slow start.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+from heapq import heappop, heappush, nlargest
+
+from flintplank import interface as api
+
+PERIOD_MS = 200.0  # between two updates of the weights (paper)
+SLOT_MS = 200.0  # one slot holds this much work (ours: one slot a period keeps booking cheap)
+SLOTS = 64  # of a board, so its horizon is 12.8 s (paper: 10 s)
+BASE_MS = 10.0  # fixed part of a request's cost: connection, parsing, logging (ours)
+FACTOR_LEAST, FACTOR_MOST = 0.1, 20.0  # clamp of a backend's learned speed factor (ours)
+FALL_STEP, RISE_STEP = 0.25, 0.08  # smoothing towards lower and higher samples: a low percentile (ours)
+RETRY_SHARE, RETRY_BURST = 0.2, 10.0  # retries after attempts that may have run, per first try (ours)
+BOOKED_SHARE = 0.9  # of the fleet's time that the boards of one proxy hold on average (ours)
+STRIKES_MOST, REDEEM = 5.0, 0.5  # failures that count at most; made up for by one served (ours)
+RESTING_MOST = 0.5  # of the fleet rests at once, lest a fault common to all empties it (ours)
+SEEN_LEAST = 0.2  # of the smoothing time that must have passed before the rates tell a wait (ours)
+OUT_STEP = 0.4  # smoothing of the attempts out, a period (ours)
+FLOOR_STEP = 0.005  # how fast the least stay found creeps up towards the present one, a period (ours)
+BEAR = 0.8  # share of a request's spare time that the booked wait may take (ours)
+BEAR_OVER_SHARE = 0.2  # the same beyond a tenant's share (ours)
+SHARE_BURST_MS = 2000.0  # of a tenant's quota saved up at most (ours)
+KEY_HOMES, KEY_SLACK = 2, 3.0  # backends that share a key; mean costs one may be booked over the rest (ours)
+MIX = (0x9E3779B97F4A7C15, 0xBF58476D1CE4E5B9)  # odd multipliers of the rendezvous hash (common ones)
+CROSS_FOR = 2.0  # share of the aim a wait must cost, per point of the price, to cross zones (ours)
+NEAR_TRIES = 2  # attempts in our own zone before others take turns alike (ours)
+COLD_SHARE = 1.5  # a cold backend's work, against its ramped share of what we see served (rule 4 allows more)
+RATE_MS = 3000.0  # smoothing of our own work rate, for slow start (ours)
+REFUSE_FOR_MS = 500.0  # advice to refused clients (ours)
+UPDATE, WATCH = 0, 1  # timer tokens
+
+
+@dataclass(slots=True)
+class Board:
+    """DESIGN 1 and 2: the queue Q_k, circular slots and cursor TC_k of one backend.  Times in ms."""
+
+    cursor: float
+    queue: list[tuple[float, float]] = field(default_factory=list)
+    slots: list[float] = field(default_factory=lambda: [0.0] * SLOTS)
+    head: int = 0  # slot that holds the present, counted from time 0
+    total: float = 0.0
+
+    def update(self, now: float) -> None:
+        """Clear the slots gone by, then book the queue."""
+        head = int(now // SLOT_MS)
+        for slot in range(self.head, min(head, self.head + SLOTS)):
+            self.slots[slot % SLOTS] = 0.0
+        self.head = max(head, self.head)
+        for stamp, cost in self.queue:
+            self.cursor = max(self.cursor, stamp)
+            self._book(cost)
+        self.queue.clear()
+        self.total = sum(self.slots)
+
+    def _book(self, cost: float) -> None:
+        last = self.head + SLOTS - 1
+        slot = int(self.cursor // SLOT_MS)
+        left = cost
+        self.cursor = min(self.cursor + cost, (last + 1) * SLOT_MS)
+        if slot < self.head:  # what would have been worked off before the present is not booked
+            left = max(0.0, min(cost, self.cursor - self.head * SLOT_MS))
+            slot = self.head
+        while left > 0.0 and slot < last:
+            taken = min(left, max(0.0, SLOT_MS - self.slots[slot % SLOTS]))
+            self.slots[slot % SLOTS] += taken
+            left -= taken
+            slot += 1
+        self.slots[last % SLOTS] += left  # beyond the horizon
+
+
+@dataclass(slots=True, eq=False)
+class Backend:
+    """What this proxy knows of one listed backend."""
+
+    info: api.BackendInfo
+    board: Board
+    turn: float  # equal weights take turns by this
+    credit: float  # slow start: ms of work it may be sent; 0 or less: none
+    factor: float = 1.0  # learned: served time over booked cost
+    weight: float = 0.0  # W_k below the top weight
+    load: float = 0.0  # L_k before it is compressed, with what was sent since
+    held: float = 0.0  # of the attempts still out, in mean costs
+    strikes: float = 0.0  # failures not yet made up for
+    rests_until: float = 0.0  # it takes no turns before
+
+    def learn(self, ratio: float) -> None:
+        """Follow a low percentile of served time over cost: quick down, slow up."""
+        step = FALL_STEP if ratio < self.factor else RISE_STEP
+        self.factor = min(FACTOR_MOST, max(FACTOR_LEAST, self.factor * (ratio / self.factor) ** step))
+
+
+def group_of(info: api.BackendInfo, scope: api.DedupScope) -> object:
+    return {api.DedupScope.ZONE: info.zone, api.DedupScope.CELL: info.cell}.get(scope)
+
+
+@dataclass(slots=True)
+class Attempt:
+    to: Backend
+    sent_at: float
+    cost: float
+    held: float
+    may_have_run: bool = True  # until its outcome proves that it never ran
+
+
+@dataclass(slots=True)
+class Request:
+    arrival: api.Arrival
+    klass: api.RequestClass
+    arrived_at: float
+    deadline: float
+    in_share: bool
+    attempts: list[Attempt] = field(default_factory=list)
+
+
+class Rate:
+    """A smoothed sum per period, right from the first period on."""
+
+    __slots__ = ("mean", "now", "raw", "seen")
+
+    def __init__(self) -> None:
+        self.now = self.mean = self.seen = self.raw = 0.0
+
+    def roll(self, periods: float) -> None:
+        fade = min(1.0, periods * PERIOD_MS / RATE_MS)
+        self.seen += (1.0 - self.seen) * fade
+        self.raw += (self.now / periods - self.raw) * fade
+        self.mean, self.now = self.raw / self.seen, 0.0
+
+
+class Balancer:
+    """One proxy.  Events of ended requests are passed over; an attempt never made is a caller's KeyError."""
+
+    def __init__(self, settings: api.Settings, seed: int) -> None:
+        self.settings = settings
+        self.random = random.Random(seed)
+        self.classes = {klass.name: klass for klass in settings.classes}
+        self.most_worth = max(klass.worth for klass in settings.classes)
+        self.quotas = {tenant.name: tenant.quota_per_s / settings.proxies for tenant in settings.tenants}
+        self.shares: dict[str, tuple[float, float]] = {}  # by tenant: requests saved up, and when
+        self.pace = float(settings.proxies)  # what one send stands for on a board
+        self.sends, self.service = Rate(), Rate()  # Nr, and the booked cost before pace and ramp
+        self.ended, self.served = Rate(), Rate()  # attempts that may have run, and the cost of those served
+        self.mean_out = self.mean_service = 0.0
+        self.wait, self.press, self.floor = 0.0, 0.0, 1e9  # of attempts on the fleet, ms
+        self.backends: dict[int, Backend] = {}
+        self.busy: dict[int, None] = {}  # backends with work on their board, in order
+        # two heaps, far and near zones: lightest booked first, then longest without a turn
+        self.turns: tuple[list[tuple[float, float, int]], list[tuple[float, float, int]]] = ([], [])
+        self.near = 0  # backends in our zone
+        self.homes: dict[int, list[int]] = {}  # by key
+        self.turn = 0.0
+        self.waiting: list[Backend] = []  # cold or resting ones that sit out until the next update
+        self.requests: dict[int, Request] = {}
+        self.sent: dict[tuple[int, int], Attempt] = {}  # attempts out, also of requests that are over
+        self.retries = RETRY_BURST
+        self.started, self.updated_at = False, 0.0
+        self.watch_failures = 0
+        self.actions: list[api.Action] = []
+
+    def handle(self, now_ms: float, event: api.Event) -> list[api.Action]:
+        self.actions = []
+        if isinstance(event, api.Arrival):
+            self._arrival(now_ms, event)
+        elif isinstance(event, api.AttemptEnded):
+            self._attempt_ended(now_ms, event)
+        elif isinstance(event, api.TimerFired) and event.token == WATCH:
+            self.actions.append(api.WatchList())
+        elif isinstance(event, api.TimerFired):
+            self._update(now_ms)
+        elif isinstance(event, api.ClientGone):
+            self.requests.pop(event.request, None)
+        elif isinstance(event, api.BackendList):
+            self._list(now_ms, event)
+        return self.actions
+
+    # Weights and turns: DESIGN 3 to 5.
+
+    def _update(self, now: float) -> None:
+        self.actions.append(api.SetTimer(UPDATE, PERIOD_MS))
+        periods, self.updated_at = max(1.0, (now - self.updated_at) / PERIOD_MS), now
+        for rate in (self.sends, self.service, self.ended, self.served):
+            rate.roll(periods)
+        self.mean_service = self.service.mean / self.sends.mean if self.sends.mean else 0.0
+        size = max(1, len(self.backends))
+        # attempts out over their rate of ending are the mean stay (Little's law); above its floor it is wait
+        self.mean_out += (len(self.sent) - self.mean_out) * OUT_STEP
+        if self.ended.seen >= SEEN_LEAST and self.ended.mean:
+            stay = self.mean_out * PERIOD_MS / self.ended.mean
+            self.floor = min(self.floor, stay) * (1.0 - FLOOR_STEP) + stay * FLOOR_STEP
+            self.wait = stay - self.floor
+            # where queues are short, rejections tell of the overload: a stay counts for each try it takes
+            self.press = self.wait + stay * (self.sends.mean / self.ended.mean - 1.0)
+        if self.service.mean > 0.0:
+            # slivers: boards as full as a busy fleet's do not drain between one proxy's picks
+            self.pace = BOOKED_SHARE * (self.near or size) * PERIOD_MS / self.service.mean
+        mean_cost = self.mean_service * self.pace or 1.0  # Cr
+        booked = [self.backends[ident] for ident in self.busy]
+        for backend in booked:
+            backend.board.update(now)
+            backend.load = backend.board.total / mean_cost  # L_k
+            if not backend.board.total and backend.held < 1e-6:
+                del self.busy[backend.info.backend]
+        low = min((backend.load for backend in booked), default=0.0) if len(booked) == size else 0.0
+        spread = max((backend.load for backend in booked), default=0.0) - low
+        squeeze = min(1.0, self.sends.mean / size / spread) if spread else 1.0  # tdiff = Nr/N
+        for backend in booked:
+            backend.weight = -(backend.load - low) * squeeze - backend.held
+            self._queue_turn(backend)
+        self._grant_credit(now, periods)
+        for backend in self.waiting:
+            self._queue_turn(backend)
+        self.waiting.clear()
+        if len(self.turns[0]) + len(self.turns[1]) > 4 * size + 16:  # shed entries gone stale
+            self.turns = ([], [])
+            for backend in self.backends.values():
+                self._queue_turn(backend)
+
+    def _queue_turn(self, backend: Backend) -> None:
+        entry = (-backend.weight, backend.turn, backend.info.backend)
+        heappush(self.turns[self._is_near(backend.info)], entry)
+
+    def _is_near(self, info: api.BackendInfo) -> bool:
+        return info.zone == self.settings.zone or not self.settings.price_cross_zone
+
+    def _keyed_turn(self, now: float, request: Request) -> Backend | None:
+        """Warm keys: a key's own backends come first while not much more booked than the lightest."""
+        lightest, key = self._next_turn(now, request), request.arrival.key
+        if lightest is None or key is None or not self.settings.warm_keys:
+            return lightest
+        if key not in self.homes:
+            near = [i for i, b in self.backends.items() if self._is_near(b.info) or not self.near]
+            self.homes[key] = nlargest(KEY_HOMES, near, key=lambda i: (key ^ i * MIX[0]) * MIX[1] % 2**64)
+        # hot keys must spread, and compressed weights would hide how much a hot one's home is booked
+        limit = lightest.load + lightest.held + KEY_SLACK
+        tried = [attempt.to for attempt in request.attempts]
+        for home in (self.backends[ident] for ident in self.homes[key]):
+            if home.load + home.held <= limit and home not in tried and self._ready(now, home):
+                return home
+        return lightest
+
+    def _next_turn(self, now: float, request: Request) -> Backend | None:
+        """The backend of most weight that may take a turn, own zone first if the wait is cheaper."""
+        far, near = self.turns
+        worth_crossing = self.settings.price_cross_zone * request.klass.aim_ms * CROSS_FOR
+        spill = self.random.uniform(1.0, 2.0) * worth_crossing < self.wait
+        if not self.near or spill or len(request.attempts) >= NEAR_TRIES:
+            tops = [self._top(near, now, request.attempts), self._top(far, now, request.attempts)]
+            return max((top for top in tops if top), key=lambda top: top.weight, default=None)
+        return self._top(near, now, request.attempts) or self._top(far, now, request.attempts)
+
+    def _top(self, turns: list[tuple[float, float, int]], now: float, tried: list[Attempt]) -> Backend | None:
+        aside: list[tuple[float, float, int]] = []
+        chosen = None
+        while turns and chosen is None:
+            weight, turn, ident = entry = heappop(turns)
+            backend = self.backends.get(ident)
+            if backend is None or backend.turn != turn or -backend.weight != weight:
+                continue  # gone, or it has a newer entry
+            if not self._ready(now, backend):
+                self.waiting.append(backend)
+                continue
+            aside.append(entry)  # the chosen one's entry goes stale with the send
+            if not any(attempt.to is backend for attempt in tried):
+                chosen = backend
+        for entry in aside:
+            heappush(turns, entry)
+        return chosen
+
+    # The request's life: rules 1 and 2.
+
+    def _arrival(self, now: float, arrival: api.Arrival) -> None:
+        klass = self.classes.get(arrival.klass) or api.RequestClass(arrival.klass)
+        deadline, in_share = now + arrival.time_left_ms, self._within_share(now, arrival)
+        request = self.requests[arrival.request] = Request(arrival, klass, now, deadline, in_share)
+        self.retries = min(RETRY_BURST, self.retries + RETRY_SHARE)
+        self._go_on(now, request)
+
+    def _attempt_ended(self, now: float, ended: api.AttemptEnded) -> None:
+        attempt = self.sent.pop((ended.request, ended.attempt))
+        # what is still out keeps its backend booked past the end of its booking: slow and hung ones show
+        attempt.to.held -= attempt.held
+        attempt.to.weight += attempt.held
+        if self.backends.get(ended.backend) is attempt.to:
+            self._queue_turn(attempt.to)
+        request = self.requests.get(ended.request)
+        if ended.finished:
+            self.requests.pop(ended.request, None)
+        attempt.may_have_run = ended.outcome not in api.NEVER_RAN
+        self.ended.now += attempt.may_have_run
+        self._judge(now, attempt.to, ended.outcome)
+        if ended.outcome is api.Outcome.SERVED:
+            self.served.now += attempt.cost
+            if self._ramp(attempt.to, now) >= 1.0:
+                attempt.to.learn(max(1.0, ended.latency_ms) / attempt.cost)
+        if request and not ended.finished:
+            self._go_on(now, request)
+
+    def _judge(self, now: float, backend: Backend, outcome: api.Outcome) -> None:
+        """Booked cost ignores how attempts end, so a backend that fails fast would keep its share: rest."""
+        if outcome is api.Outcome.SERVED:
+            backend.strikes = max(0.0, backend.strikes - REDEEM)
+        elif outcome not in (api.Outcome.REJECTED, api.Outcome.CANCELLED, api.Outcome.NOT_SENT):
+            backend.strikes = min(STRIKES_MOST, backend.strikes + 1.0)
+            backend.rests_until = now + PERIOD_MS * 2.0**backend.strikes * self.random.uniform(0.5, 1.0)
+
+    def _within_share(self, now: float, arrival: api.Arrival) -> bool:
+        """Count a request against this proxy's part of its tenant's quota."""
+        quota = self.quotas.get(arrival.tenant, 0.0)
+        most = max(1.0, quota * SHARE_BURST_MS / 1000.0)
+        saved, since = self.shares.get(arrival.tenant, (most, now))
+        saved = min(most, saved + quota * (now - since) / 1000.0)
+        self.shares[arrival.tenant] = (saved - (saved >= 1.0), now)
+        return saved >= 1.0 or not quota
+
+    def _bears(self, now: float, request: Request) -> bool:
+        """Overload: what could not be in time behind what is out is refused early, least worth first."""
+        klass = request.klass
+        done = now + BASE_MS + request.arrival.hint_ms
+        spare = request.arrived_at + klass.aim_ms - done
+        if request.in_share and klass.worth >= self.most_worth:  # the dearest tries on, the rest yields to it
+            return self.wait <= BEAR * max(spare, klass.late_worth * (request.deadline - done))
+        # no class may wait longer than one of more worth could, or it would starve that one
+        limit = min(other.aim_ms for other in self.settings.classes if other.worth >= klass.worth)
+        rank = 0.5 + 0.5 * klass.worth / (self.most_worth or 1.0)
+        bears = max(min(spare, limit), klass.late_worth * limit) * rank
+        return self.press <= bears * (BEAR if request.in_share else BEAR_OVER_SHARE)
+
+    def _go_on(self, now: float, request: Request) -> None:
+        """Send a request that has no attempt out, or end it."""
+        ran = next((attempt for attempt in request.attempts if attempt.may_have_run), None)
+        backend = self._choose(now, request, ran)
+        if backend is not None:
+            self._send(now, request, backend)
+            return
+        ident, klass = request.arrival.request, request.klass
+        del self.requests[ident]
+        everywhere = klass.effect is api.Effect.KEYED and klass.scope is api.DedupScope.ALL
+        if ran is None or klass.effect is api.Effect.IDEMPOTENT or everywhere:
+            self.actions.append(api.Refuse(ident, min(REFUSE_FOR_MS, self.settings.max_retry_after_ms)))
+        else:
+            self.actions.append(api.Fail(ident))
+
+    def _choose(self, now: float, request: Request, ran: Attempt | None) -> Backend | None:
+        if now >= request.deadline or len(request.attempts) >= self.settings.max_attempts:
+            return None
+        if ran is None:
+            return self._keyed_turn(now, request) if self._bears(now, request) else None
+        klass = request.klass
+        if klass.effect is api.Effect.UNSAFE or self.retries < 1.0:
+            return None
+        chosen = self._next_turn(now, request) if klass.effect is api.Effect.IDEMPOTENT else None
+        closes = ran.sent_at + klass.repeat_window_ms - self.settings.connect_timeout_ms
+        if klass.effect is api.Effect.KEYED and now < closes:
+            # a repeat may only go where the first is remembered, and it needs time to get there
+            here = group_of(ran.to.info, klass.scope)
+            group = [b for b in self.backends.values() if group_of(b.info, klass.scope) == here]
+            group = [b for b in group if self._ready(now, b)]
+            chosen = max(group, key=lambda b: (b.weight, -b.turn), default=None)
+        if chosen is not None:
+            self.retries -= 1.0
+        return chosen
+
+    def _send(self, now: float, request: Request, backend: Backend) -> None:
+        """Start an attempt and book it: its cost is on the board and off the weight at once."""
+        cost = BASE_MS + request.arrival.hint_ms
+        turn_cost = cost * backend.factor / self._ramp(backend, now)  # rule 4: a cold backend is a slow one
+        turns = turn_cost / (self.mean_service or turn_cost)
+        attempt = Attempt(backend, now, cost, turns)
+        self.sent[request.arrival.request, len(request.attempts)] = attempt
+        request.attempts.append(attempt)
+        backend.held += turns  # and once more for being out
+        backend.board.queue.append((now, turn_cost * self.pace))
+        backend.credit -= cost
+        self.sends.now += 1.0
+        self.service.now += cost * backend.factor
+        self.busy[backend.info.backend] = None
+        self.turn = backend.turn = self.turn + 1.0
+        backend.load += turns
+        backend.weight -= 2.0 * turns
+        self._queue_turn(backend)
+        self.actions.append(api.StartAttempt(request.arrival.request, backend.info.backend))
+
+    # List, drains and slow start: rules 3 and 4.
+
+    def _list(self, now: float, news: api.BackendList) -> None:
+        if not self.started:
+            self.started, self.updated_at = True, now
+            self.actions.append(api.SetTimer(UPDATE, PERIOD_MS * self.random.uniform(0.1, 1.0)))
+            if self.settings.watch_list:
+                wait = self.settings.ask_within_ms * self.random.random() / 8.0
+                self.actions.append(api.SetTimer(WATCH, wait))
+        if news.kind is api.ListKind.FAILED:
+            # an own jitter keeps many proxies from asking a small list service together
+            self.watch_failures += 1
+            wait = min(500.0 * 2.0**self.watch_failures, self.settings.ask_within_ms / 3.0)
+            self.actions.append(api.SetTimer(WATCH, wait * self.random.uniform(0.5, 1.0)))
+            return
+        self.watch_failures = 0
+        fresh = [info for info in news.backends if info.state is api.State.UP]
+        listed = {info.backend for info in fresh}
+        gone = [info.backend for info in news.backends if info.state is not api.State.UP]
+        if news.kind is not api.ListKind.CHANGES:
+            gone += [ident for ident in self.backends if ident not in listed]
+        for ident in gone:  # rule 3: a draining or missing backend gets nothing from here on
+            self.backends.pop(ident, None)
+            self.busy.pop(ident, None)
+        self.random.shuffle(fresh)  # many proxies must not begin on the same backend
+        for info in fresh:
+            old = self.backends.get(info.backend)
+            if old and old.info.started_ms == info.started_ms:
+                old.info = info
+                continue
+            self.busy.pop(info.backend, None)
+            # rule 4: first sends of many proxies to a cold backend must not fall together
+            credit = -self.random.random() * (self.mean_service or PERIOD_MS)
+            turn = self.random.random() - 1.0
+            self.backends[info.backend] = Backend(info, Board(now), turn, credit)
+            self._queue_turn(self.backends[info.backend])
+        self.homes.clear()
+        self.near = sum(self._is_near(backend.info) for backend in self.backends.values())
+
+    def _ramp(self, backend: Backend, now: float) -> float:
+        """The least share of its capacity that a started backend has by now."""
+        if not backend.info.started_ms:
+            return 1.0
+        risen = max(0.0, now - backend.info.started_ms) / max(1.0, self.settings.cold_ms)
+        return min(1.0, self.settings.cold_from + (1.0 - self.settings.cold_from) * risen)
+
+    def _ready(self, now: float, backend: Backend) -> bool:
+        rests = backend.rests_until > now and len(self.waiting) < RESTING_MOST * len(self.backends)
+        return not rests and (backend.credit > 0.0 or self._ramp(backend, now) >= 1.0)
+
+    def _grant_credit(self, now: float, periods: float) -> None:
+        """Rule 4 by one proxy alone: a cold backend earns its ramped share of what this proxy sees served.
+
+        Work sent would not do: in an overload each refused try counts there once more.
+        """
+        cold = [(b, ramp) for b in self.backends.values() if (ramp := self._ramp(b, now)) < 1.0]
+        strength = len(self.backends) - sum(1.0 - ramp for _, ramp in cold)
+        # where most are cold, nobody knows what a warm one takes: count on half the fleet
+        share = COLD_SHARE * self.served.mean * periods / max(1.0, strength, len(self.backends) / 2.0)
+        for backend, ramp in cold:
+            most = share * ramp * self.settings.fall_ms / PERIOD_MS
+            backend.credit = min(backend.credit + share * ramp, most)
--- /dev/null
+++ b/flintplank/wire.py
@@ -0,0 +1,286 @@
+"""The words of the wire: lines to events and settings, actions to lines."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from enum import Enum
+from typing import TypeVar
+
+from flintplank.interface import (
+    Action,
+    Arrival,
+    AttemptEnded,
+    BackendInfo,
+    BackendList,
+    CancelAttempt,
+    ClientGone,
+    CloseIdle,
+    DedupScope,
+    Effect,
+    Event,
+    Fail,
+    FetchList,
+    ListKind,
+    Outcome,
+    Probe,
+    ProbeEnded,
+    Refuse,
+    RequestClass,
+    SetTimer,
+    Settings,
+    StartAttempt,
+    State,
+    StreamStarted,
+    Tenant,
+    TimerFired,
+    WatchList,
+)
+
+Rows = Iterator[tuple[int, str]]
+Word = TypeVar("Word", bound=Enum)
+
+OUTCOMES = {
+    "served": Outcome.SERVED, "server_error": Outcome.ERROR, "turned_away": Outcome.REJECTED,
+    "no_answer": Outcome.TIMEOUT, "no_connection": Outcome.UNREACHABLE, "connection_lost": Outcome.RESET,
+    "called_off": Outcome.CANCELLED, "not_sent": Outcome.NOT_SENT,
+}
+EFFECTS = {"idempotent": Effect.IDEMPOTENT, "deduplicated": Effect.KEYED, "at_most_once": Effect.UNSAFE}
+SCOPES = {"all": DedupScope.ALL, "zone": DedupScope.ZONE, "cell": DedupScope.CELL}
+KINDS = {"C": ListKind.CACHED, "F": ListKind.FULL, "D": ListKind.CHANGES, "X": ListKind.FAILED}
+STATES = {"in_service": State.UP, "terminating": State.DRAINING, "terminated": State.GONE}
+
+
+class WireError(Exception):
+    """Malformed input."""
+
+    def __init__(self, line: int | None, what: str) -> None:
+        super().__init__(f"line {line}: {what}" if line else what)
+
+
+class Fields:
+    """The name=value pairs of one line."""
+
+    __slots__ = ("line", "values")
+
+    def __init__(self, line: int, values: dict[str, str]) -> None:
+        self.line = line
+        self.values = values
+
+    def text(self, name: str, default: str = "") -> str:
+        return self.values.get(name, default)
+
+    def number(self, name: str, default: float | None = None) -> float:
+        text = self.values.get(name)
+        if text is None:
+            if default is None:
+                raise WireError(self.line, f"{name}: missing")
+            return default
+        try:
+            value = float(text)
+        except ValueError:
+            value = float("nan")
+        if value - value != 0.0:  # not a number, or without end
+            raise WireError(self.line, f"{name}: not a number: {text[:40]!r}")
+        return value
+
+    def integer(self, name: str, default: int | None = None) -> int:
+        text = self.values.get(name)
+        if text is None:
+            if default is None:
+                raise WireError(self.line, f"{name}: missing")
+            return default
+        try:
+            return int(text)
+        except ValueError:
+            raise WireError(self.line, f"{name}: not a whole number: {text[:40]!r}") from None
+
+    def flag(self, name: str, default: bool = False) -> bool:
+        text = self.values.get(name)
+        if text is None:
+            return default
+        if text in ("1", "true"):
+            return True
+        if text in ("0", "false"):
+            return False
+        raise WireError(self.line, f"{name}: neither 1 nor 0: {text[:40]!r}")
+
+    def word(self, name: str, words: dict[str, Word], default: str = "") -> Word:
+        text = self.values.get(name, default)
+        if text not in words:
+            raise WireError(self.line, f"{name}: {'missing' if not text else f'unknown word {text[:40]!r}'}")
+        return words[text]
+
+
+def fields_of(line: int, rest: str) -> Fields:
+    values: dict[str, str] = {}
+    for pair in rest.split(" "):
+        name, equals, value = pair.partition("=")
+        if equals:
+            values[name] = value
+        elif pair:
+            raise WireError(line, f"{pair[:40]!r} is not name=value")
+    return Fields(line, values)
+
+
+def settings_of(fields: Fields) -> Settings:
+    """The settings of a `born` line.  What is absent falls back to the defaults of `Settings`."""
+    try:
+        return Settings(
+            classes=tuple(
+                RequestClass(
+                    name=fields.text(f"{at}Name"),
+                    aim_ms=fields.number(f"{at}OnTimeMs", 1000.0),
+                    deadline_ms=fields.number(f"{at}HardLimitMs", 5000.0),
+                    worth=fields.number(f"{at}Worth", 1.0),
+                    late_worth=fields.number(f"{at}LateWorth", 0.0),
+                    effect=fields.word(f"{at}Effect", EFFECTS, "at_most_once"),
+                    scope=fields.word(f"{at}DedupScope", SCOPES, "cell"),
+                    repeat_window_ms=fields.number(f"{at}RepeatWindowMs", 0.0),
+                )
+                for at in (f"Categories.{i}." for i in range(fields.integer("Categories.count")))
+            ),
+            tenants=tuple(
+                Tenant(
+                    fields.text(f"{at}Name"),
+                    fields.number(f"{at}Portion", 1.0),
+                    fields.number(f"{at}QuotaPerS", 0.0),
+                )
+                for at in (f"Tenants.{i}." for i in range(fields.integer("Tenants.count", 0)))
+            ),
+            zone=fields.text("Zone"),
+            zones=tuple(zone for zone in fields.text("FailureDomains").split(",") if zone),
+            proxies=fields.integer("Balancers", 1),
+            watch_list=fields.text("Discovery") == "ask",
+            ask_within_ms=fields.number("Rules.MustAskInMs", 10000.0),
+            max_attempts=fields.integer("Limits.MostTries", 1),
+            second_copies=fields.flag("Limits.SecondCopies"),
+            cancel=fields.flag("Limits.Cancel"),
+            probing=fields.flag("Limits.Probing"),
+            max_retry_after_ms=(
+                fields.number("Limits.MaxRetryAfterMs", 0.0) if fields.flag("Limits.RetryAfter") else 0.0
+            ),
+            connect_timeout_ms=fields.number("Limits.ConnectTimeoutMs", 250.0),
+            warm_keys=fields.flag("FamilyInfo.WarmKeys"),
+            live_weights=fields.text("WeightSource") == "live",
+            sized_weights=fields.text("WeightSource") in ("nominal", "rough"),
+            cold_from=fields.number("Rules.ColdFrom", 1.0),
+            cold_ms=fields.number("Rules.ColdMs", 0.0),
+            overload_factor=fields.number("Rules.OverloadFactor", 2.0),
+            fall_ms=fields.number("Rules.FallMs", 1000.0),
+            over_share_worth=fields.number("OverShareWorth", 1.0),
+            price_cross_zone=fields.number("Deductions.CrossZone", 0.0),
+            price_late_failure=fields.number("Deductions.LateFail", 0.0),
+            price_connection=fields.number("Deductions.Connection", 0.0),
+            price_handshake=fields.number("Deductions.Handshake", 0.0),
+            price_waste=fields.number("Deductions.Waste", 0.0),
+        )
+    except ValueError as error:
+        raise WireError(fields.line, f"settings: {error}") from None
+
+
+def _list(fields: Fields, rows: Rows) -> BackendList:
+    news = BackendList(fields.word("Kind", KINDS))
+    count = fields.integer("Elements", 0)
+    for _ in range(count):
+        number, line = next(rows, (None, ""))
+        head, _, rest = line.rstrip("\n").partition(" ")
+        if number is None or head != "entry":
+            raise WireError(number, f"Elements: {count} entries announced, {len(news.backends)} came")
+        entry = fields_of(number, rest)
+        news.backends.append(
+            BackendInfo(
+                backend=entry.integer("Backend"),
+                state=entry.word("Readiness", STATES),
+                zone=entry.text("Hall"),
+                kind=entry.text("Hw"),
+                cell=entry.integer("Group", 0),
+                weight=entry.number("Weight", 1.0),
+                started_ms=entry.number("StartTimeMs", 0.0),
+            )
+        )
+    return news
+
+
+def _arrival(fields: Fields, rows: Rows) -> Arrival:
+    return Arrival(
+        request=fields.integer("Call"),
+        klass=fields.text("Lane"),
+        time_left_ms=fields.number("TimeLeftMs"),
+        tenant=fields.text("Billing"),
+        key=fields.integer("Affinity") if "Affinity" in fields.values else None,
+        hint_ms=fields.number("HintMs", 0.0),
+        is_retry=fields.flag("Retry"),
+        is_write=fields.flag("Mutates"),
+    )
+
+
+def _load(fields: Fields) -> dict[str, float] | None:
+    text = fields.values.get("Gauge")
+    if not text or text == "-":
+        return None
+    load: dict[str, float] = {}
+    for pair in text.split(","):
+        name, _, value = pair.partition(":")
+        try:
+            load[name] = float(value)
+        except ValueError:
+            raise WireError(fields.line, f"Gauge: not name:value: {pair[:40]!r}") from None
+    return load
+
+
+def _ended(fields: Fields, rows: Rows) -> AttemptEnded:
+    return AttemptEnded(
+        request=fields.integer("Call"),
+        attempt=fields.integer("Leg"),
+        backend=fields.integer("Backend"),
+        outcome=fields.word("Verdict", OUTCOMES),
+        latency_ms=fields.number("LagMs", 0.0),
+        finished=fields.flag("DoneFlag"),
+        load=_load(fields),
+    )
+
+
+def _stream(fields: Fields, rows: Rows) -> StreamStarted:
+    ids = (fields.integer("Call"), fields.integer("Leg"), fields.integer("Backend"))
+    return StreamStarted(*ids, fields.number("LagMs", 0.0))
+
+
+def _probed(fields: Fields, rows: Rows) -> ProbeEnded:
+    outcome = fields.word("Verdict", OUTCOMES)
+    return ProbeEnded(fields.integer("Backend"), outcome, fields.number("LagMs", 0.0), _load(fields))
+
+
+EVENTS: dict[str, Callable[[Fields, Rows], Event | None]] = {
+    "announce": _list,
+    "submit": _arrival,
+    "headers": _stream,
+    "report_back": _ended,
+    "dropped": lambda fields, rows: ClientGone(fields.integer("Call")),
+    "ring": lambda fields, rows: TimerFired(fields.integer("KeyBack")),
+    "health": _probed,
+    "whisper": lambda fields, rows: None,  # the balancers share nothing
+}
+
+
+def render(who: int, action: Action) -> str:
+    match action:
+        case StartAttempt(request, backend, timeout):
+            limit = f" TryForMs={timeout:.3f}" if timeout else ""
+            return f"deliver Who={who} Call={request} Backend={backend}{limit}"
+        case CancelAttempt(request, attempt):
+            return f"recall Who={who} Call={request} Leg={attempt}"
+        case Refuse(request, wait):
+            advice = f" NotBeforeForMs={wait:.3f}" if wait else ""
+            return f"turn_away Who={who} Call={request}{advice}"
+        case Fail(request):
+            return f"drop_request Who={who} Call={request}"
+        case SetTimer(token, delay):
+            return f"timer Who={who} KeyBack={token} InMs={delay:.3f}"
+        case WatchList():
+            return f"watch Who={who} Want=1"
+        case FetchList():
+            return f"query_all Who={who}"
+        case Probe(backend):
+            return f"inspect Who={who} Backend={backend}"
+        case CloseIdle(backend):
+            return f"free_links Who={who} Backend={backend}"
--- /dev/null
+++ b/tests/test_extensions.py
@@ -0,0 +1,133 @@
+"""Each failure met, as a small test of what answers it."""
+
+from collections import Counter
+
+from flintplank.interface import (
+    BackendInfo,
+    Effect,
+    ListKind,
+    Outcome,
+    Refuse,
+    RequestClass,
+    Settings,
+    Tenant,
+)
+from tests.host import Host, fleet
+
+READ = RequestClass("read", 500.0, 5000.0, 1.0, 0.0, Effect.IDEMPOTENT)
+
+
+def host_of(backends: int, **more: object) -> Host:
+    host = Host(Settings((READ,), **more))  # type: ignore[arg-type]
+    host.listed(ListKind.CACHED, *fleet(backends))
+    return host
+
+
+def drive(
+    host: Host, span: float, every: float, took: float = 60.0, stuck: tuple[int, ...] = (), **more: str
+) -> None:
+    """Arrivals `every` ms; each attempt is served `took` ms after it was sent, but for stuck backends."""
+    until = host.now + span
+    while host.now < until:
+        for ident, attempt in host.out():
+            sent = host.owed[ident].attempts[attempt]
+            if sent.backend not in stuck and host.now >= sent.at + took:
+                host.end(ident, attempt, Outcome.SERVED)
+        host.arrive(left=5000.0, **more)  # type: ignore[arg-type]
+        host.run_to(host.now + every)
+
+
+def firsts(host: Host) -> list[int]:
+    return [owed.attempts[0].backend for owed in host.owed.values() if owed.attempts]
+
+
+def test_a_hung_backend_keeps_what_it_holds_booked() -> None:
+    host = host_of(4)
+    drive(host, 1500.0, 10.0)
+    mark = len(firsts(host))
+    drive(host, 1000.0, 10.0, stuck=(101,))
+    counts = Counter(firsts(host)[mark:])
+    assert counts[101] * 2 < counts[100]
+
+
+def test_a_backend_that_fails_fast_rests_and_is_tried_again() -> None:
+    host = host_of(6, max_attempts=3)
+    for _ in range(600):
+        ident = host.arrive()
+        while not host.owed[ident].over:
+            attempt = len(host.owed[ident].attempts) - 1
+            bad = host.owed[ident].attempts[attempt].backend == 103
+            host.end(ident, attempt, Outcome.ERROR if bad else Outcome.SERVED, 2.0 if bad else 60.0)
+        host.run_to(host.now + 10.0)
+    counts = Counter(firsts(host))
+    assert 1 < counts[103] < counts[100] / 4
+    late = Counter(firsts(host)[-500:])
+    assert late[103] > 0  # single trials go on
+
+
+def test_a_fault_common_to_all_does_not_empty_the_fleet() -> None:
+    host = host_of(6, max_attempts=1)
+    for _ in range(200):
+        ident = host.arrive()
+        if host.owed[ident].attempts:
+            host.end(ident, 0, Outcome.ERROR)
+        host.run_to(host.now + 10.0)
+    assert len(firsts(host)) == 200
+
+
+def test_an_overload_is_refused_early_and_ends_with_it() -> None:
+    host = host_of(2)
+    drive(host, 3000.0, 20.0)
+    assert not [a for a in host.log if isinstance(a, Refuse)]
+    drive(host, 3000.0, 20.0, took=900.0)  # everything takes far longer than the aim
+    assert len([a for a in host.log if isinstance(a, Refuse)]) > 20
+    drive(host, 6000.0, 20.0)
+    mark = len(host.log)
+    drive(host, 1000.0, 20.0)
+    assert not [a for a in host.log[mark:] if isinstance(a, Refuse)]
+
+
+def test_traffic_beyond_a_share_goes_first() -> None:
+    host = Host(Settings((READ,), tenants=(Tenant("small", 0.1, 2.0), Tenant("large", 0.9, 200.0))))
+    host.listed(ListKind.CACHED, *fleet(4))
+    for tenant in ("small", "large") * 50:
+        drive(host, 40.0, 20.0, tenant=tenant)
+    for tenant in ("small", "large") * 80:
+        drive(host, 40.0, 20.0, took=350.0, tenant=tenant)
+    refused = {a.request for a in host.log if isinstance(a, Refuse)}
+    by = Counter(host.owed[ident].arrival.tenant for ident in refused)
+    assert by["small"] > 3 * by["large"]
+
+
+def test_own_zone_first_where_crossing_has_a_price() -> None:
+    host = host_of(8, zone="z0", zones=("z0", "z1"), price_cross_zone=0.05)
+    drive(host, 2000.0, 20.0)
+    assert {host.known[b].zone for b in firsts(host)} == {"z0"}
+    host.listed(ListKind.CHANGES, *[BackendInfo(b.backend, zone="z1") for b in fleet(8) if b.zone == "z1"])
+    for info in fleet(8):
+        if info.zone == "z0":
+            host.usable.pop(info.backend)
+    host.listed(ListKind.FULL, *[b for b in fleet(8) if b.zone == "z1"])
+    assert host.known[host.owed[host.arrive()].attempts[0].backend].zone == "z1"
+
+
+def test_a_key_goes_home_alike_at_every_proxy_but_a_hot_one_spreads() -> None:
+    homes = []
+    for seed in range(4):
+        host = Host(Settings((READ,), warm_keys=True), seed)
+        host.listed(ListKind.CACHED, *fleet(12))
+        drive(host, 1500.0, 20.0)
+        picks = []
+        for _ in range(5):
+            drive(host, 100.0, 20.0)
+            picks.append(host.owed[host.arrive(key=4711)].attempts[0].backend)
+        homes.append(Counter(picks).most_common(1)[0][0])
+    assert len(set(homes)) == 1
+    hot = [host.owed[host.arrive(key=4711)].attempts[0].backend for _ in range(30)]
+    assert len(set(hot)) > 6
+
+
+def test_with_no_warm_keys_a_key_changes_nothing() -> None:
+    host = host_of(12)
+    picks = [host.owed[host.arrive(key=4711)].attempts[0].backend for _ in range(12)]
+    assert len(set(picks)) == 12
