Take SIGHUP: a new file under load, and the watch moves without a gap

Checked: a bad file (no JSON, wrong discovery, no limits) is logged and the old one stays, on loopback sockets. Failures now share one timer in choice.py, since a watch begun by a reload may fail beside the module's own.

--- a/dykemux/__main__.py
+++ b/dykemux/__main__.py
@@ -1,4 +1,4 @@
-"""Start, SIGTERM and exit code of one real proxy."""
+"""Start, SIGHUP, SIGTERM and exit code of one real proxy."""
 
 from __future__ import annotations
 
@@ -23,16 +23,37 @@
 async def serve(config: Config) -> None:
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(_log_exception)
-    stop = asyncio.Event()
+    stop, reload = asyncio.Event(), asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
+    # before anything else: what SIGHUP does by default is end the process
+    loop.add_signal_handler(signal.SIGHUP, reload.set)
     proxy = Proxy(loop, config)
     clients = Clients(loop, config, proxy)
-    await clients.listen(config.listen)
+    log.info("listening on %s:%d", *await clients.listen(config.listen))
     gc.collect()
     gc.freeze()  # what lives as long as the process need not be searched again
+    reloading = loop.create_task(_reloads(reload, proxy, clients))
     await stop.wait()
     await clients.drain()
+    reloading.cancel()
+
+
+async def _reloads(asked: asyncio.Event, proxy: Proxy, clients: Clients) -> None:
+    """Take a new configuration on SIGHUP, as a whole or not at all; signals that come together count once."""
+    while True:
+        await asked.wait()
+        asked.clear()
+        try:
+            config = load(os.environ)
+            proxy.reload(config)
+            clients.reload(config)
+        except ConfigError as error:
+            log.error("reload: %s; the old configuration stays in force", error)
+        except Exception as error:  # a reload must never be what ends the service
+            log.exception("reload: %s", error)
+        else:
+            log.info("reload: done, discovery is %s:%d", *config.discovery)
 
 
 def _log_exception(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
--- a/dykemux/backends.py
+++ b/dykemux/backends.py
@@ -64,15 +64,18 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, config: Config, proxy: Proxy) -> None:
         self.loop = loop
         self.proxy = proxy
-        self.most = config.backend_sockets
-        self.grace = config.drain_grace_ms / 1000.0
-        self.connect_s = config.settings.connect_timeout_ms / 1000.0
-        self.idle_s = config.conn_idle_ms / 1000.0 * IDLE_SHARE
+        self.settle(config)
         self.open = 0  # connections, those coming up too
         self.idle: dict[Link, None] = {}  # the longest idle first
         self.streams: set[Link] = set()
         self.connects: set[asyncio.Task[None]] = set()
 
+    def settle(self, config: Config) -> None:
+        self.most = config.backend_sockets
+        self.grace = config.drain_grace_ms / 1000.0
+        self.connect_s = config.settings.connect_timeout_ms / 1000.0
+        self.idle_s = config.conn_idle_ms / 1000.0 * IDLE_SHARE
+
     def start(self, attempt: Attempt) -> None:
         node = attempt.node
         attempt.request.out += 1
--- a/dykemux/clients.py
+++ b/dykemux/clients.py
@@ -51,13 +51,19 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, config: Config, proxy: Proxy) -> None:
         self.loop = loop
         self.proxy = proxy
-        self.most, self.crowd_most = config.client_sockets, config.crowd_sockets
+        self.listens = config.listen
+        self.reload(config)
         self.open: dict[Client, None] = {}
         self.idle: dict[Client, None] = {}  # the longest idle first
         self.draining = False
         self.accepted_at = 0.0
         self.server: asyncio.Server | None = None
 
+    def reload(self, config: Config) -> None:
+        self.most, self.crowd_most = config.client_sockets, config.crowd_sockets
+        if config.listen != self.listens:
+            log.error("reload: listen: a new address needs a restart; %s:%d stays", *self.listens)
+
     async def listen(self, address: tuple[str, int]) -> tuple[str, int]:
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         listener = socket.socket(family, socket.SOCK_STREAM)
--- a/dykemux/config.py
+++ b/dykemux/config.py
@@ -1,8 +1,8 @@
-"""What a proxy is told at start: four variables and one JSON file, checked once and frozen.
+"""What a proxy is told at start and at each reload: variables and one JSON file, checked and frozen.
 
-`LB_NAME`, `LB_LISTEN` and `LB_DISCOVERY` say who and where; the file that `LB_CONFIG` names holds `seed`,
-`limits`, `known` and `settings`.  Anything missing or malformed is a `ConfigError` whose one line names the
-field.
+`LB_NAME` and `LB_LISTEN` say who and where; the file that `LB_CONFIG` names holds `seed`, `limits`, `known`,
+`settings` and `discovery`, which `LB_DISCOVERY` stands in for.  Anything missing or malformed is a
+`ConfigError` whose one line names the field.
 """
 
 from __future__ import annotations
@@ -49,7 +49,6 @@
 def load(environ: Mapping[str, str]) -> Config:
     name = _variable(environ, "LB_NAME")
     listen = _address(environ, "LB_LISTEN")
-    discovery = _address(environ, "LB_DISCOVERY")
     path = _variable(environ, "LB_CONFIG")
     try:
         told = json.loads(Path(path).read_bytes())
@@ -59,6 +58,9 @@
         raise ConfigError(f"LB_CONFIG: not JSON: {path}") from None
     if not isinstance(told, dict):
         raise ConfigError("LB_CONFIG: not a JSON object")
+    # the file is what a reload replaces, so where it names discovery the variable may be old
+    where = told.get("discovery", environ.get("LB_DISCOVERY"))
+    discovery = _host_port("discovery" if "discovery" in told else "LB_DISCOVERY", where)
     limits = _object(told, "limits")
     memory, sockets = _positive(limits, "limits.memory_mb"), int(_positive(limits, "limits.sockets"))
     soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
@@ -105,7 +107,12 @@
 
 
 def _address(environ: Mapping[str, str], name: str) -> tuple[str, int]:
-    text = _variable(environ, name)
+    return _host_port(name, _variable(environ, name))
+
+
+def _host_port(name: str, text: object) -> tuple[str, int]:
+    if not isinstance(text, str):
+        raise ConfigError(f"{name}: missing or no text")
     host, _, port = text.rpartition(":")
     if not host or not (port.isascii() and port.isdigit()) or not 0 <= int(port) < 65536:
         raise ConfigError(f"{name}: not HOST:PORT: {text[:80]!r}")
--- a/dykemux/discovery.py
+++ b/dykemux/discovery.py
@@ -125,10 +125,33 @@
         self.calls: set[_Call] = set()
 
     def watch(self) -> None:
-        for call in [call for call in self.calls if call.stream]:
-            call.close()  # a new watch takes the old one's place
+        """Begin a watch.  One under way goes on until the new one is answered, so that no change is missed;
+        one that the same address answered already is as good as new.
+        """
+        if any(call.stream and call.answered and call.address == self.address for call in self.calls):
+            return
+        for call in [call for call in self.calls if call.stream and not call.answered]:
+            call.close()
         self.calls.add(_Call(self, f"?stream=1&index={self.index}", True))
 
+    def move(self, address: tuple[str, int]) -> None:
+        """Ask another address from now on; at once, if there is a watch to move."""
+        if address == self.address:
+            return
+        self.address = address
+        if any(call.stream for call in self.calls):
+            self.watch()
+
+    def answered(self, fresh: _Call) -> None:
+        if fresh.stream:
+            for call in [call for call in self.calls if call.stream and call is not fresh]:
+                call.close()
+
+    def failed(self, call: _Call) -> None:
+        """Tell of a failure, unless another watch is about to take the failed one's place."""
+        if not (call.stream and any(other.stream for other in self.calls)):
+            self.tell(None)
+
     def fetch(self) -> None:
         self.calls.add(_Call(self, "", False))
 
@@ -146,6 +169,7 @@
 
     def __init__(self, owner: Discovery, query: str, stream: bool) -> None:
         self.owner = owner
+        self.address = owner.address
         self.query = query
         self.stream = stream
         self.over = False
@@ -160,7 +184,7 @@
 
     async def _connect(self) -> None:
         try:
-            await self.owner.loop.create_connection(lambda: self, *self.owner.address)
+            await self.owner.loop.create_connection(lambda: self, *self.address)
         except OSError as error:
             self._fail(f"no connection: {error}")
 
@@ -169,7 +193,7 @@
         if self.over:
             self.transport.abort()
             return
-        host, port = self.owner.address
+        host, port = self.address
         head = f"GET /catalog/members{self.query} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n"
         self.transport.write(head.encode())
 
@@ -186,6 +210,8 @@
             self.answered = status == 200
             if not self.answered:
                 self._fail(f"answered {status}")
+            elif not self.over:
+                self.owner.answered(self)
 
     def on_body(self, data: bytes) -> None:
         if self.over:
@@ -235,7 +261,7 @@
         if not self.over:
             log.info("discovery: %s", why)
             self.close()
-            self.owner.tell(None)
+            self.owner.failed(self)
 
     def close(self) -> None:
         self.over = True
--- a/dykemux/proxy.py
+++ b/dykemux/proxy.py
@@ -67,10 +67,7 @@
 class Proxy:
     def __init__(self, loop: asyncio.AbstractEventLoop, config: Config) -> None:
         self.loop = loop
-        self.settings = config.settings
-        self.tenants = {tenant.name for tenant in config.settings.tenants}
-        self.deadlines = {klass.name: klass.deadline_ms for klass in config.settings.classes}
-        self.deadline_most_ms = max(self.deadlines.values())
+        self._settle(config.settings)
         self.balancer = Balancer(config.settings, config.seed)
         self.origin = time.time() - time.monotonic()  # wall clock at start; it never steps after
         self.pool = Pool(loop, config, self)
@@ -84,6 +81,22 @@
         self.telling = False
         self._take_list(config.known, api.ListKind.CACHED)
 
+    def reload(self, config: Config) -> None:
+        """Settings, limits and discovery of a new file, under load.  What is under way goes on as it began;
+        the file's list is passed over, since the watch told a newer one.
+        """
+        self._settle(config.settings)
+        self.tell(api.NewSettings(config.settings))
+        self.pool.settle(config)
+        self.budget.most = config.body_bytes
+        self.discovery.move(config.discovery)
+
+    def _settle(self, settings: api.Settings) -> None:
+        self.settings = settings
+        self.tenants = {tenant.name for tenant in settings.tenants}
+        self.deadlines = {klass.name: klass.deadline_ms for klass in settings.classes}
+        self.deadline_most_ms = max(self.deadlines.values())
+
     def serves(self) -> bool:
         return any(node.listed for node in self.nodes.values())
 
--- a/flintplank/choice.py
+++ b/flintplank/choice.py
@@ -138,11 +138,8 @@
     """One proxy.  Events of ended requests are passed over; an attempt never made is a caller's KeyError."""
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
-        self.settings = settings
+        self._settle(settings)
         self.random = random.Random(seed)
-        self.classes = {klass.name: klass for klass in settings.classes}
-        self.most_worth = max(klass.worth for klass in settings.classes)
-        self.quotas = {tenant.name: tenant.quota_per_s / settings.proxies for tenant in settings.tenants}
         self.shares: dict[str, tuple[float, float]] = {}  # by tenant: requests saved up, and when
         self.pace = float(settings.proxies)  # what one send stands for on a board
         self.sends, self.service = Rate(), Rate()  # Nr, and the booked cost before pace and ramp
@@ -161,9 +158,15 @@
         self.sent: dict[tuple[int, int], Attempt] = {}  # attempts out, also of requests that are over
         self.retries = RETRY_BURST
         self.started, self.updated_at = False, 0.0
-        self.watch_failures = 0
+        self.watch_failures, self.watch_due = 0, False
         self.actions: list[api.Action] = []
 
+    def _settle(self, settings: api.Settings) -> None:
+        self.settings = settings
+        self.classes = {klass.name: klass for klass in settings.classes}
+        self.most_worth = max(klass.worth for klass in settings.classes)
+        self.quotas = {tenant.name: tenant.quota_per_s / settings.proxies for tenant in settings.tenants}
+
     def handle(self, now_ms: float, event: api.Event) -> list[api.Action]:
         self.actions = []
         if isinstance(event, api.Arrival):
@@ -171,6 +174,7 @@
         elif isinstance(event, api.AttemptEnded):
             self._attempt_ended(now_ms, event)
         elif isinstance(event, api.TimerFired) and event.token == WATCH:
+            self.watch_due = False
             self.actions.append(api.WatchList())
         elif isinstance(event, api.TimerFired):
             self._update(now_ms)
@@ -178,6 +182,9 @@
             self.requests.pop(event.request, None)
         elif isinstance(event, api.BackendList):
             self._list(now_ms, event)
+        elif isinstance(event, api.NewSettings):
+            self._settle(event.settings)
+            self.near = sum(self._is_near(backend.info) for backend in self.backends.values())
         return self.actions
 
     # Weights and turns: DESIGN 3 to 5.
@@ -395,10 +402,13 @@
             self.actions.append(api.SetTimer(UPDATE, PERIOD_MS * self.random.uniform(0.1, 1.0)))
             if self.settings.watch_list:
                 wait = self.settings.ask_within_ms * self.random.random() / 8.0
+                self.watch_due = True
                 self.actions.append(api.SetTimer(WATCH, wait))
         if news.kind is api.ListKind.FAILED:
             # an own jitter keeps many proxies from asking a small list service together
-            self.watch_failures += 1
+            if self.watch_due:  # one timer for any number of failures, or their calls would add up
+                return
+            self.watch_failures, self.watch_due = self.watch_failures + 1, True
             wait = min(500.0 * 2.0**self.watch_failures, self.settings.ask_within_ms / 3.0)
             self.actions.append(api.SetTimer(WATCH, wait * self.random.uniform(0.5, 1.0)))
             return
--- a/flintplank/interface.py
+++ b/flintplank/interface.py
@@ -173,6 +173,13 @@
     backends: list[BackendInfo] = field(default_factory=list)
 
 
+@dataclass(slots=True)
+class NewSettings:
+    """Other settings from now on.  Requests under way keep their class; the list stays in force."""
+
+    settings: Settings
+
+
 @dataclass(slots=True)
 class Arrival:
     """A client's request; the balancer owes it one final answer.  Its id never comes twice."""
@@ -228,7 +235,9 @@
     load: Mapping[str, float] | None = None
 
 
-Event = BackendList | Arrival | StreamStarted | AttemptEnded | ClientGone | TimerFired | ProbeEnded
+Event = (
+    BackendList | NewSettings | Arrival | StreamStarted | AttemptEnded | ClientGone | TimerFired | ProbeEnded
+)
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/tests/loopback.py
@@ -0,0 +1,217 @@
+"""Peers on loopback sockets for tests: discovery, backends whose every byte a test decides, and clients.
+
+Nothing here waits for a stretch of time; every wait is for bytes, a connection or its end, and LIMIT only
+keeps a broken proxy from holding the suite up.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import socket
+import sys
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager, suppress
+from pathlib import Path
+from typing import Any, Self
+
+ROOT = Path(__file__).parent.parent
+LIMIT = 20.0
+SETTINGS: dict[str, Any] = {
+    "Balancers": 1,
+    "Categories": [
+        {
+            "Name": "save", "OnTimeMs": 1500.0, "HardLimitMs": 6000.0, "Worth": 1.0, "LateWorth": 0.5,
+            "Effect": "deduplicated", "DedupScope": "cell", "RepeatWindowMs": 5000.0,
+        },
+        {"Name": "read", "OnTimeMs": 1500.0, "HardLimitMs": 6000.0, "Effect": "idempotent"},
+    ],
+    "Discovery": "ask",
+    "FailureDomains": ["a"],
+    "Zone": "a",
+    "Limits": {"MostTries": 4, "ConnectTimeoutMs": 1000.0, "ConnIdleMs": 15000.0},
+    "Rules": {"MustAskInMs": 800.0, "DrainGraceMs": 500.0},
+}  # fmt: skip
+Talk = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+class Listener:
+    """A server on an ephemeral port; `talk` is one connection's whole life."""
+
+    def __init__(self, talk: Talk) -> None:
+        self.talk = talk
+        self.address = ""
+        self.opened = 0
+        self.writers: list[asyncio.StreamWriter] = []
+
+    async def __aenter__(self) -> Self:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self.server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+        return self
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.opened += 1
+        self.writers.append(writer)
+        with suppress(OSError, asyncio.IncompleteReadError):
+            await self.talk(reader, writer)
+
+    async def __aexit__(self, *_: object) -> None:
+        self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
+
+async def head_of(reader: asyncio.StreamReader) -> dict[str, str]:
+    """One head: its first line under "", header names in lower case."""
+    first, *lines = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")[:-2]
+    parts = (line.partition(":") for line in lines)
+    return {"": first} | {name.lower(): value.strip() for name, _, value in parts}
+
+
+async def request_of(reader: asyncio.StreamReader) -> tuple[dict[str, str], bytes]:
+    head = await head_of(reader)
+    return head, await reader.readexactly(int(head.get("content-length", "0")))
+
+
+def ok(body: bytes) -> bytes:
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+
+
+class Backend(Listener):
+    """Answers each request with what `reply` makes of it; None says nothing."""
+
+    def __init__(self, reply: Callable[[dict[str, str], bytes], bytes | None] | None = None) -> None:
+        super().__init__(self._answer)
+        self.reply = reply or (lambda head, body: ok(head["x-request-id"].encode()))
+        self.seen: list[str] = []
+        self.asked = asyncio.Event()
+
+    async def _answer(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            head, body = await request_of(reader)
+            self.seen.append(head["x-request-id"])
+            self.asked.set()
+            answer = self.reply(head, body)
+            if answer is not None:
+                writer.write(answer)
+
+
+def entry(name: str, address: str, status: str = "active", group: int = 0) -> dict[str, Any]:
+    return {"name": name, "address": address, "zone": "a", "group": group, "status": status, "since_ms": 0}
+
+
+class Discovery(Listener):
+    """Watches get `entries` as a whole list; more is told with `change`."""
+
+    def __init__(self, *entries: dict[str, Any]) -> None:
+        super().__init__(self._watch)
+        self.entries = list(entries)
+        self.watched = asyncio.Event()
+        self.ended = asyncio.Event()
+
+    async def _watch(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await head_of(reader)
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        writer.write(head + self._line(True, self.entries))
+        self.watched.set()
+        await reader.read()
+        self.ended.set()
+
+    def _line(self, whole: bool, entries: list[dict[str, Any]]) -> bytes:
+        line = json.dumps({"index": 7, "snapshot": whole, "endpoints": entries}).encode() + b"\n"
+        return b"%x\r\n%b\r\n" % (len(line), line)
+
+    def change(self, *entries: dict[str, Any]) -> None:
+        for writer in self.writers:
+            writer.write(self._line(False, list(entries)))
+
+
+def configuration(discovery: str, *known: dict[str, Any], **limits: float) -> dict[str, Any]:
+    return {
+        "name": "n0", "discovery": discovery, "seed": "5eed",
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256} | limits,
+        "known": {"index": 1, "snapshot": True, "endpoints": list(known)},
+        "settings": SETTINGS,
+    }  # fmt: skip
+
+
+class Node:
+    """The real program in a process of its own."""
+
+    def __init__(self, path: Path, process: asyncio.subprocess.Process, host: str, port: int) -> None:
+        self.path, self.process, self.host, self.port = path, process, host, port
+
+    def signal(self, number: int) -> None:
+        self.process.send_signal(number)
+
+    async def log_line(self, word: str) -> str:
+        assert self.process.stderr
+        while word not in (line := (await self.process.stderr.readline()).decode()):
+            assert line, f"the log ended without {word!r}"
+        return line
+
+    def descriptors(self) -> int:
+        return len(os.listdir(f"/proc/{self.process.pid}/fd"))
+
+    async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        return await asyncio.open_connection(self.host, self.port)
+
+    async def ask(self, ident: str, klass: str = "save") -> tuple[str, bytes]:
+        reader, writer = await self.connect()
+        writer.write(request(ident, klass))
+        answer = await answer_of(reader)
+        writer.close()
+        return answer
+
+
+@asynccontextmanager
+async def node(path: Path, config: dict[str, Any]) -> AsyncIterator[Node]:
+    file = path / "config.json"
+    file.write_text(json.dumps(config))
+    with socket.socket() as probe:  # a port that is free now; the proxy binds it with SO_REUSEADDR
+        probe.bind(("127.0.0.1", 0))
+        port = probe.getsockname()[1]
+    told = {
+        "LB_NAME": "n0", "LB_LISTEN": f"127.0.0.1:{port}", "LB_CONFIG": str(file),
+        "LB_DISCOVERY": config["discovery"],
+    }  # fmt: skip
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "dykemux", cwd=ROOT, env={**os.environ, **told}, stderr=asyncio.subprocess.PIPE
+    )
+    made = Node(file, process, "127.0.0.1", port)
+    try:
+        await made.log_line("listening")
+        yield made
+    finally:
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+
+
+def request(ident: str, klass: str = "save", body: bytes = b"ride", extra: str = "") -> bytes:
+    method = "GET" if klass == "read" else "POST"
+    lines = [f"{method} /{klass}/obj1 HTTP/1.1", "Host: api.internal", f"X-Class: {klass}"]
+    lines += [f"X-Request-Id: {ident}"] if ident else []
+    if klass != "read":
+        lines += [f"Idempotency-Key: k{ident}", f"Content-Length: {len(body)}"]
+    lines += ["X-Deadline-Ms: 5000"] if "deadline" not in extra.lower() else []
+    return ("\r\n".join(lines) + f"\r\n{extra}\r\n").encode() + (body if klass != "read" else b"")
+
+
+async def answer_of(reader: asyncio.StreamReader) -> tuple[str, bytes]:
+    """Status and body of one whole answer; "closed" if the connection ends first."""
+    try:
+        head, body = await request_of(reader)
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return "closed", b""
+    return head[""].split()[1], body
+
+
+def run(talk: Awaitable[None]) -> None:
+    async def within() -> None:
+        async with asyncio.timeout(LIMIT):
+            await talk
+
+    asyncio.run(within())
--- /dev/null
+++ b/tests/test_reload.py
@@ -0,0 +1,54 @@
+"""SIGHUP under load: the new file as a whole or not at all, and no gap in what discovery tells."""
+
+import json
+import signal
+from pathlib import Path
+
+from tests.loopback import Backend, Discovery, answer_of, configuration, entry, node, request, run
+
+
+def test_sighup_moves_the_watch_and_keeps_what_is_under_way(tmp_path: Path) -> None:
+    async def talk() -> None:
+        async with Backend() as old, Backend() as new, Discovery() as first, Discovery() as second:
+            first.entries = [entry("b-old", old.address)]
+            second.entries = [entry("b-new", new.address)]
+            old.reply = lambda head, body: None
+            config = configuration(first.address, *first.entries)
+            async with node(tmp_path, config) as proxy:
+                await first.watched.wait()
+                reader, writer = await proxy.connect()
+                writer.write(request("a1"))
+                await old.asked.wait()
+                proxy.path.write_text(json.dumps(config | {"discovery": second.address}))
+                proxy.signal(signal.SIGHUP)
+                await second.watched.wait()
+                await first.ended.wait()  # only once the new one is up
+                old.writers[0].write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")
+                assert await answer_of(reader) == ("200", b"done")
+                assert await proxy.ask("a2") == ("200", b"a2")
+                assert new.seen == ["a2"]  # the new list is in force
+
+    run(talk())
+
+
+def test_a_bad_new_file_leaves_the_old_one_in_force(tmp_path: Path) -> None:
+    async def talk() -> None:
+        async with Backend() as backend, Discovery() as first, Discovery() as second:
+            first.entries = second.entries = [entry("b", backend.address)]
+            config = configuration(first.address, *first.entries)
+            async with node(tmp_path, config) as proxy:
+                await first.watched.wait()
+                wrongs = ({"discovery": 5}, {"limits": {}}, {"settings": 0})
+                for text in ("{", *(json.dumps({**config, **wrong}) for wrong in wrongs)):
+                    proxy.path.write_text(text)
+                    proxy.signal(signal.SIGHUP)
+                    assert "stays in force" in await proxy.log_line("reload")
+                assert await proxy.ask("a1") == ("200", b"a1")
+                assert second.opened == 0 and not first.ended.is_set()
+                proxy.path.write_text(json.dumps(config | {"discovery": second.address}))
+                proxy.signal(signal.SIGHUP)  # and a good one is still taken
+                await second.watched.wait()
+                proxy.signal(signal.SIGTERM)
+                assert await proxy.process.wait() == 0
+
+    run(talk())
