--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -38,7 +38,7 @@
             config = configuration(first.address, *first.entries)
             async with node(tmp_path, config) as proxy:
                 await first.watched.wait()
-                wrongs = ({"discovery": 5}, {"limits": {}}, {"settings": 0})
+                wrongs: tuple[dict[str, object], ...] = ({"discovery": 5}, {"limits": {}}, {"settings": 0})
                 for text in ("{", *(json.dumps({**config, **wrong}) for wrong in wrongs)):
                     proxy.path.write_text(text)
                     proxy.signal(signal.SIGHUP)
