--- a/dykemux/backends.py
+++ b/dykemux/backends.py
@@ -1,13 +1,15 @@
 """The way to the backends: connections kept for reuse, one attempt on each at a time, how an attempt ends.
 
 An attempt never ran only if its connection ended before its last byte was written; nothing is ever sent a
-second time from here.  What a backend answers is held until whole, so that a break can still be retried;
-above `HOLD_MOST` it is passed on as it comes.
+second time from here.  What a backend answers is held until whole and within bounds, so that a spoilt answer
+is a failed attempt like any other and no client ever sees a part of it.
 """
 
 from __future__ import annotations
 
 import asyncio
+import logging
+import select
 import time
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, cast
@@ -15,17 +17,20 @@
 import httptools
 
 from dykemux.config import Config
-from dykemux.http1 import HEAD_MOST, HOLD_MOST, Headers, end_to_end
+from dykemux.http1 import BODY_MOST, HEAD_MOST, Headers, Unreadable, end_to_end
 from flintplank.interface import Outcome
 
 if TYPE_CHECKING:
-    from dykemux.clients import Client
     from dykemux.proxy import Proxy, Request
 
 IDLE_SHARE = 0.6  # of the time after which a backend closes an idle connection; ours must close first
-STREAM_SILENCE_S = 5.0  # a backend silent for so long in the middle of an answer is gone
+SETTLE_S = 0.005  # a connection rests so long after an answer, so that what comes right behind it is seen
+SILENCE_S = 0.3  # a backend silent for so long in the middle of an answer won't finish it
+RAW_MOST = HEAD_MOST + 2 * BODY_MOST  # bytes of an answer with interim ones and the framing of chunks
 JOIN_MOST = 16 << 10  # a body up to this is joined to its head; a larger one is not worth the copy
 
+log = logging.getLogger(__name__)
+
 
 @dataclass(slots=True, eq=False)
 class Node:
@@ -49,26 +54,28 @@
     started: float
     ends_at: float
     link: Link | None = None
+    timer: asyncio.TimerHandle | None = None  # of a time-out before the request's deadline
     ended: bool = False
 
 
 @dataclass(slots=True)
 class Answer:
+    status: int
     lines: bytes
     body: bytes
 
 
 class Pool:
-    """All connections to backends."""
+    """All connections to backends.  A link is counted from `connection_made` until it is closed or lost."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, config: Config, proxy: Proxy) -> None:
         self.loop = loop
         self.proxy = proxy
         self.settle(config)
-        self.open = 0  # connections, those coming up too
+        self.links: set[Link] = set()
         self.idle: dict[Link, None] = {}  # the longest idle first
-        self.streams: set[Link] = set()
         self.connects: set[asyncio.Task[None]] = set()
+        self.poll = select.poll()
 
     def settle(self, config: Config) -> None:
         self.most = config.backend_sockets
@@ -76,40 +83,62 @@
         self.connect_s = config.settings.connect_timeout_ms / 1000.0
         self.idle_s = config.conn_idle_ms / 1000.0 * IDLE_SHARE
 
+    def open(self) -> int:
+        """Descriptors in use or about to be, so that EMFILE is never how we find out."""
+        return len(self.links) + len(self.connects)
+
     def start(self, attempt: Attempt) -> None:
         node = attempt.node
         attempt.request.out += 1
         node.out += 1
-        while node.idle:
-            link = node.idle.pop()
-            del self.idle[link]
-            if attempt.started - link.idle_at < self.idle_s and not link.transport.is_closing():
-                self._send(link, attempt)
-                return
-            link.transport.abort()
-        if self.open >= self.most and self.idle:
+        link = self._rested(node, attempt.started)
+        if link is not None:
+            self._send(link, attempt)
+            return
+        if self.open() >= self.most and self.idle:
             self.close_link(next(iter(self.idle)))
-        if self.open >= self.most:
-            self.end(attempt, Outcome.NOT_SENT)  # counted, so that EMFILE is never how we find out
+        if self.open() >= self.most:
+            self.end(attempt, Outcome.NOT_SENT)
             return
-        self.open += 1
         task = self.loop.create_task(self._connect(attempt))
         self.connects.add(task)
         task.add_done_callback(self.connects.discard)
 
+    def _rested(self, node: Node, now: float) -> Link | None:
+        """An idle connection that has nothing to say.
+
+        Guards rule 1: bytes beyond an answer, or an end not yet read, would meet the next request.  It
+        covers a second copy, noise, and a backend that closed an idle connection early.  It costs
+        system calls, and where answers come faster than SETTLE_S on few connections, a connection more.
+        """
+        for place in range(len(node.idle) - 1, -1, -1):
+            link = node.idle[place]
+            if now - link.idle_at < SETTLE_S:
+                continue
+            if now - link.idle_at < self.idle_s and link.is_quiet():
+                del node.idle[place], self.idle[link]
+                return link
+            self.close_link(link)
+        return None
+
     async def _connect(self, attempt: Attempt) -> None:
+        """Whatever happens here, the attempt ends and the connection is in its book or closed."""
         node = attempt.node
+        link = Link(self, node)
         try:
             async with asyncio.timeout(self.connect_s):
-                _, link = await self.loop.create_connection(lambda: Link(self, node), *node.address)
-        except (OSError, TimeoutError):
-            self.open -= 1
+                await self.loop.create_connection(lambda: link, *node.address)
+        except Exception as error:
+            link.abandon()  # a time-out may cross success
+            if not isinstance(error, OSError | TimeoutError):
+                log.error("connecting to %s: %s: %s", node.name, type(error).__name__, error)
             self.end(attempt, Outcome.UNREACHABLE)
             return
-        if attempt.ended:
-            self.rest(link)  # it is paid for: the next attempt may have it
-        else:
+        if not attempt.ended and not attempt.request.over:
             self._send(link, attempt)
+            return
+        self.rest(link)  # it is paid for: the next attempt may have it
+        self.end(attempt, Outcome.NOT_SENT)
 
     def _send(self, link: Link, attempt: Attempt) -> None:
         node, now = attempt.node, time.monotonic()
@@ -131,9 +160,7 @@
         self.idle[link] = None
 
     def close_link(self, link: Link) -> None:
-        if link in self.idle:
-            del self.idle[link]
-            link.node.idle.remove(link)
+        self.lost(link)  # its descriptor is closed before that of a later connect is opened
         link.transport.abort()
 
     def close_idle(self, node: Node) -> None:
@@ -141,8 +168,7 @@
             self.close_link(link)
 
     def lost(self, link: Link) -> None:
-        self.open -= 1
-        self.streams.discard(link)
+        self.links.discard(link)
         if link in self.idle:
             del self.idle[link]
             link.node.idle.remove(link)
@@ -152,6 +178,8 @@
         if attempt.ended:
             return
         attempt.ended = True
+        if attempt.timer:
+            attempt.timer.cancel()
         attempt.node.out -= 1
         attempt.request.out -= 1
         self.proxy.attempt_ended(attempt, outcome, answer)
@@ -170,17 +198,14 @@
             if now - link.idle_at < self.idle_s:
                 break
             self.close_link(link)
-        for link in list(self.streams):
-            if not link.held_back and now - link.heard > STREAM_SILENCE_S:
-                link.transport.abort()
 
 
 class Link(asyncio.Protocol):
     """One connection to a backend."""
 
     __slots__ = (
-        "address", "attempt", "chunks", "close_ends", "headers", "heard", "held", "held_back", "idle_at",
-        "keep", "node", "parser", "pool", "sink", "size", "status", "transport", "unsent",
+        "abandoned", "address", "attempt", "chunks", "close_ends", "got", "headers", "held", "idle_at",
+        "keep", "node", "parser", "pool", "size", "status", "timer", "transport", "unsent", "whole",
     )
 
     def __init__(self, pool: Pool, node: Node) -> None:
@@ -190,25 +215,45 @@
         self.transport: asyncio.Transport
         self.parser = httptools.HttpResponseParser(self)
         self.attempt: Attempt | None = None
+        self.abandoned = False  # it came up too late
         self.unsent = False  # part of the request still stands in our buffer
         self.headers: Headers = []
         self.chunks: list[bytes] = []
-        self.size = 0
+        self.got = 0  # bytes that came for this attempt
+        self.size = 0  # of the head, then of the body
         self.held = 0  # bytes taken from the budget
         self.status = 0
-        self.sink: Client | None = None  # of a streamed answer
-        self.held_back = False  # by a client that reads slowly
+        self.whole = False  # the answer's last byte is in
         self.close_ends = False  # the answer is as long as the connection
         self.keep = False
-        self.idle_at = self.heard = 0.0
+        self.idle_at = 0.0
+        self.timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         self.transport.set_write_buffer_limits(high=0)  # so that resume_writing means: all is written
+        self.pool.links.add(self)
+        if self.abandoned:
+            self.transport.abort()
+
+    def abandon(self) -> None:
+        self.abandoned = True
+        if self in self.pool.links:
+            self.transport.abort()
+
+    def is_quiet(self) -> bool:
+        """Nothing to read, not even the connection's end."""
+        if self.transport.is_closing():
+            return False
+        number = self.transport.get_extra_info("socket").fileno()
+        self.pool.poll.register(number, select.POLLIN)
+        said = self.pool.poll.poll(0)
+        self.pool.poll.unregister(number)
+        return not said
 
     def send(self, attempt: Attempt, now: float) -> None:
         self.attempt, attempt.link = attempt, self
-        self.size, self.status = 0, 0
+        self.got, self.size, self.status, self.whole = 0, 0, 0, False
         request, transport = attempt.request, self.transport
         left = max(1, int((attempt.ends_at - now) * 1000.0))
         head = b"%bx-deadline-ms: %d\r\n\r\n" % (request.head, left)
@@ -225,129 +270,126 @@
     def resume_writing(self) -> None:
         self.unsent = False
 
+    # Reading.  The parser's callbacks only note; what follows from an answer follows when all of a segment is
+    # read, so that no further attempt can meet the rest of it.
+
     def data_received(self, data: bytes) -> None:
         if self.attempt is None:
             self.transport.abort()  # nothing was asked
             return
+        self.got += len(data)
+        beyond = False
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._garbage()
+            beyond = True
+        if self.whole:
+            self._answered(self.keep and not beyond)
+        elif beyond or self.got > RAW_MOST or (not self.status and self.got > HEAD_MOST):
+            self._spoilt()
+        elif self.timer is None:
+            self.timer = self.pool.loop.call_later(SILENCE_S, self._silent, self.got)
+
+    def _silent(self, got: int) -> None:
+        """Guards against answers that stop half-way on a connection that stays open: a length too large, a
+        head or a chunk without end.  It might hurt a backend that pauses for long while it writes.
+        """
+        self.timer = None
+        if self.attempt is None:
+            return
+        if self.got == got:
+            self._spoilt()
+        else:
+            self.timer = self.pool.loop.call_later(SILENCE_S, self._silent, self.got)
+
+    def on_message_begin(self) -> None:
+        if self.whole:
+            raise Unreadable  # more than belongs to the answer
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self.size += len(name) + len(value)
-        if self.size > HEAD_MOST:
-            self._garbage()
-        elif not self.sink:
-            self.headers.append((name.lower(), value))
+        self.size += len(name) + len(value) + 4
+        if self.size > HEAD_MOST or self.whole:
+            raise Unreadable
+        self.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         self.status = self.parser.get_status_code()
         self.keep = self.parser.should_keep_alive()
         self.size = 0
-        framing = [name for name, _ in self.headers if name in (b"content-length", b"transfer-encoding")]
-        self.close_ends = not framing and self.status >= 200
-        if self.status == 200:
-            length = self._length()
-            if length is not None and length > HOLD_MOST:
-                self._stream(length)
-
-    def _length(self) -> int | None:
-        return next((int(value) for name, value in self.headers if name == b"content-length"), None)
+        if self.status < 200:
+            return
+        lengths = [value for name, value in self.headers if name == b"content-length"]
+        chunked = any(name == b"transfer-encoding" for name, _ in self.headers)
+        self.close_ends = not lengths and not chunked and self.status not in (204, 304)
+        closes = any(name == b"connection" and value.lower() == b"close" for name, value in self.headers)
+        # an answer may end with its connection only if it says so: a spoilt head may have lost its length
+        if len(lengths) + chunked > 1 or (self.close_ends and not closes):
+            raise Unreadable
+        if lengths and (not lengths[0].isdigit() or len(lengths[0]) > 12 or int(lengths[0]) > BODY_MOST):
+            raise Unreadable
 
     def on_body(self, data: bytes) -> None:
         attempt = self.attempt
-        if self.sink:
-            self.heard = time.monotonic()
-            self.sink.pass_on(data)
-            return
+        self.size += len(data)
+        if self.size > BODY_MOST:
+            raise Unreadable
         if attempt is None or attempt.ended or self.status != 200:
             return  # read and forgotten
-        self.size += len(data)
+        if not self.pool.proxy.budget.take(len(data)):
+            raise Unreadable  # guards memory: like a spoilt one it may have run
+        self.held += len(data)
         self.chunks.append(data)
-        if self.size > HOLD_MOST or not self._hold(len(data)):
-            chunks, self.chunks = self.chunks, []
-            self._let_go()
-            self._stream(self._length())
-            for chunk in chunks:
-                self.on_body(chunk)
-
-    def _hold(self, size: int) -> bool:
-        held = self.pool.proxy.budget.take(size)
-        self.held += size if held else 0
-        return held
-
-    def _let_go(self) -> None:
-        self.pool.proxy.budget.give(self.held)
-        self.held = 0
-
-    def _stream(self, length: int | None) -> None:
-        attempt = self.attempt
-        if attempt is not None and not attempt.ended:
-            self.sink = self.pool.proxy.stream_begins(attempt, end_to_end(self.headers), length)
-            if self.sink:
-                self.heard = time.monotonic()
-                self.pool.streams.add(self)
-            elif not attempt.ended:
-                self.pool.give_up(attempt, Outcome.CANCELLED)  # nobody reads it any more
 
     def on_message_complete(self) -> None:
-        attempt, status = self.attempt, self.status
-        headers, chunks, sink = self.headers, self.chunks, self.sink
-        self.headers, self.chunks, self.sink = [], [], None
-        self._let_go()
-        if status < 200 and status != 101:
-            return  # an interim answer: the real one follows
-        if attempt is None:
-            return
-        self.attempt = None
-        self.pool.streams.discard(self)
-        not_run = status in (503, 504) and (b"x-not-run", b"1") in headers
-        # a connection is kept only where both sides agree on where the next message begins
-        if self.keep and not self.unsent and status != 101 and not self.close_ends:
+        if self.status == 101 or self.status >= 200:
+            self.whole = True
+        else:
+            self.headers, self.status = [], 0  # an interim answer: the real one follows
+
+    def _answered(self, keep: bool) -> None:
+        """The answer is whole.  Its connection is kept only if both sides agree where the next one begins."""
+        attempt, status, headers, chunks = self.attempt, self.status, self.headers, self.chunks
+        self._clear()
+        if keep and not self.unsent and status != 101 and not self.close_ends:
             self.pool.rest(self)
         else:
             self.transport.abort()
-        if sink:
-            sink.stream_ended()
-            self.pool.end(attempt, Outcome.SERVED)
-        elif attempt.ended:
+        if attempt is None or attempt.ended:
             return
-        elif status == 200:
-            self.pool.end(attempt, Outcome.SERVED, Answer(end_to_end(headers), b"".join(chunks)))
+        if status == 200:
+            self.pool.end(attempt, Outcome.SERVED, Answer(200, end_to_end(headers), b"".join(chunks)))
+        elif 400 <= status < 500:
+            # the backend can't use what the client sent, which tells nothing of the backend's health
+            self.pool.end(attempt, Outcome.CANCELLED, Answer(400, b"", b""))
         else:
+            not_run = status in (503, 504) and (b"x-not-run", b"1") in headers
             self.pool.end(attempt, Outcome.REJECTED if not_run else Outcome.ERROR)
 
-    def _garbage(self) -> None:
-        """No answer that HTTP knows: an error, and what was asked may have run."""
-        self._broken(Outcome.ERROR)
+    def _spoilt(self) -> None:
+        """No answer that HTTP knows, or none that ends: an error, and what was asked may have run."""
         self.transport.abort()
+        self._broken(Outcome.ERROR)
 
     def eof_received(self) -> bool:
-        if self.close_ends and self.status >= 200 and self.attempt is not None:
-            self.on_message_complete()
+        if self.close_ends and self.attempt is not None:
+            self._answered(False)
         return False
 
     def connection_lost(self, error: Exception | None) -> None:
         self.pool.lost(self)
         self._broken(Outcome.UNREACHABLE if self.unsent else Outcome.RESET)
+        del self.parser  # it refers back to us, and the collector would come late
 
     def _broken(self, outcome: Outcome) -> None:
-        attempt, self.attempt = self.attempt, None
-        sink, self.sink = self.sink, None
-        self.chunks = []
-        self._let_go()
-        if sink:
-            sink.stream_broke()
+        attempt = self.attempt
+        self._clear()
         if attempt is not None:
             self.pool.end(attempt, outcome)
 
-    def hold_back(self, wait: bool) -> None:
-        """Backpressure: the client's pace is the backend's."""
-        if wait == self.held_back or self.transport.is_closing():
-            return
-        self.held_back, self.heard = wait, time.monotonic()
-        if wait:
-            self.transport.pause_reading()
-        else:
-            self.transport.resume_reading()
+    def _clear(self) -> None:
+        self.attempt, self.headers, self.chunks = None, [], []
+        self.pool.proxy.budget.give(self.held)
+        self.held = 0
+        if self.timer:
+            self.timer.cancel()
+            self.timer = None
--- a/dykemux/clients.py
+++ b/dykemux/clients.py
@@ -1,7 +1,8 @@
 """The way from the clients: the listener, their connections, and what is answered without the module.
 
 A connection reads one request at a time and hands it on when its last byte is in.  What is malformed or too
-large is answered here and the connection ends; what finds no room is refused before anything ran.
+large is answered here and the connection ends; what finds no room is refused before anything ran.  No
+connection waits without end: each has a time by which its next step is due.
 """
 
 from __future__ import annotations
@@ -17,21 +18,35 @@
 
 import httptools
 
-from dykemux.backends import Link
 from dykemux.config import Config
-from dykemux.http1 import BODY_MOST, CONTINUE, HEAD_MOST, Headers, answer_head, end_to_end, figure
-from dykemux.proxy import DEADLINE_MOST_MS, HINT_MOST_US, Ask, Proxy, Request
+from dykemux.http1 import (
+    BODY_MOST,
+    CONTINUE,
+    HEAD_MOST,
+    Headers,
+    Unreadable,
+    answer_head,
+    end_to_end,
+    figure,
+)
+from dykemux.proxy import HINT_MOST_US, Ask, Proxy, Request
+from flintplank.interface import Effect
 
 BACKLOG = 2048
 METHODS = frozenset((b"GET", b"POST", b"PUT", b"PATCH", b"DELETE", b"OPTIONS"))
 READ_HERE = frozenset((b"x-deadline-ms",))  # goes to a backend with a figure of our own
+ONCE = frozenset((  # heads that name two of these could be read in two ways
+    b"content-length", b"transfer-encoding", b"x-request-id", b"x-class", b"x-tenant", b"x-deadline-ms",
+    b"idempotency-key", b"host",
+))  # fmt: skip
+FIELDS_MOST = 100  # header fields of a request
 SMALL_BODY, LARGE_SHARE = 16 << 10, 0.85  # larger bodies leave part of the budget to the small ones
-EARLY_MOST = 16  # requests that a client may send ahead of its answers
-HEAD_S = 10.0  # for a head; slow clients take up to 2 s
-BODY_STEP, BODY_S = 64 << 10, 10.0  # a body comes on by so much in this time; slow ones need 1 s
-IDLE_S = 75.0  # between requests
-WRITE_S = 30.0  # a client that takes no byte of its answer for so long has gone
-LINGER_S = 3.0  # what still comes after a last answer is read for so long, lest a reset overtake the answer
+EARLY_MOST = 8  # requests that a client may send ahead of its answers
+SWEEP_S = 0.2
+REQUEST_S = 2.6  # from the connection, or a later request's first byte, to its last; slow ones take up to 2 s
+IDLE_S = 15.0  # between requests; where descriptors run short the longest idle are closed earlier
+WRITE_S = 5.0  # a client that takes no byte of its answer for so long has gone
+LINGER_S, LINGER_MOST = 1.0, 256 << 10  # what comes after a last answer is read, lest a reset overtake it
 QUIET_S, ACCEPT_S, ACCEPT_MOST_S = 0.25, 0.6, 1.5  # after SIGTERM new connections come for up to 0.4 s
 LAST_S = 0.5  # after the longest deadline we are gone; SIGKILL comes 0.7 s after it
 
@@ -42,7 +57,7 @@
     IDLE = 0  # between requests
     HEAD = 1
     BODY = 2
-    LAST = 3  # the last answer is written; input is read and forgotten
+    LAST = 3  # the last answer is written or owed; input is read and forgotten
 
 
 class Clients:
@@ -54,7 +69,8 @@
         self.listens = config.listen
         self.reload(config)
         self.open: dict[Client, None] = {}
-        self.idle: dict[Client, None] = {}  # the longest idle first
+        self.silent: dict[Client, None] = {}  # those that have not sent a byte, the oldest first
+        self.idle: dict[Client, None] = {}  # those between requests, the longest idle first
         self.draining = False
         self.accepted_at = 0.0
         self.server: asyncio.Server | None = None
@@ -70,7 +86,7 @@
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)  # no waiting for TIME_WAIT
         listener.bind(address)
         self.server = await self.loop.create_server(lambda: Client(self), sock=listener, backlog=BACKLOG)
-        self.loop.call_later(1.0, self._sweep)
+        self.loop.call_later(SWEEP_S, self._sweep)
         bound = listener.getsockname()
         return bound[0], bound[1]
 
@@ -80,21 +96,27 @@
         self.accepted_at = time.monotonic()
         if len(self.open) <= self.most:
             return True
+        # guards usual clients: a crowd that says nothing goes before anyone who has ever asked, so that its
+        # size costs no more than its accepts; it might hurt a client that connects long before it asks
+        if (oldest := next(iter(self.silent))) is not client:
+            oldest.abort()
+            return True
         if self.idle:
             next(iter(self.idle)).close()
             return True
         if len(self.open) > self.most + self.crowd_most:
-            # guards the descriptors: whoever has been sending its request for longest goes
-            slow = [other for other in self.open if other.phase in (Phase.HEAD, Phase.BODY, Phase.LAST)]
-            min(slow, key=lambda other: other.begun, default=client).abort()
+            # guards the descriptors: whoever is turned away goes, or has been sending its request for longest
+            slow = [other for other in self.open if not other.request and not other.early]
+            min(slow, key=lambda other: (other.phase is not Phase.LAST, other.begun), default=client).abort()
         return False
 
     def closed(self, client: Client) -> None:
         self.open.pop(client, None)
         self.idle.pop(client, None)
+        self.silent.pop(client, None)
 
     def _sweep(self) -> None:
-        self.loop.call_later(1.0, self._sweep)
+        self.loop.call_later(SWEEP_S, self._sweep)
         now = time.monotonic()
         for client in [client for client in self.open if client.due <= now]:
             client.overdue()
@@ -112,7 +134,7 @@
         if self.server:
             self.server.close()  # the last accepts left the backlog empty for QUIET_S
         while self.open and time.monotonic() < ends_at:
-            for client in [client for client in self.idle if client.answers]:
+            for client in list(self.idle):
                 client.close()
             await asyncio.sleep(0.02)
         for client in list(self.open):
@@ -123,8 +145,8 @@
     """One client connection."""
 
     __slots__ = (
-        "answers", "ask", "begun", "body", "due", "early", "headers", "last", "owner", "parser", "paused",
-        "phase", "request", "seen", "source", "stepped", "transport", "unframed", "url", "welcome", "wrong",
+        "ask", "begun", "body", "due", "early", "fields", "headers", "last", "length", "owner", "parser",
+        "paused", "phase", "request", "seen", "transport", "url", "welcome", "wrong",
     )
 
     def __init__(self, owner: Clients) -> None:
@@ -137,37 +159,39 @@
         self.body: bytes | bytearray = b""
         self.ask: Ask | None = None  # of the request being read; None: it is answered here
         self.wrong = 0  # status that a request being read will be answered with
-        self.seen = 0  # bytes of the head, or since the body last came on
-        self.stepped = 0  # bytes of the body since its time was last extended
+        self.seen = 0  # bytes of the head, or since the body last came on; after the last answer, of anything
+        self.fields = self.length = 0  # bytes of the header fields, and of the body
         self.early: deque[tuple[Ask | None, int, bytes | bytearray]] = deque()
         self.request: Request | None = None
-        self.source: Link | None = None  # of a streamed answer
-        self.unframed = False  # it has neither length nor chunks
         self.last = False  # no request after this one
         self.paused = False
-        self.answers = 0
         self.begun = time.monotonic()
-        self.due = self.begun + IDLE_S
+        self.due = self.begun + REQUEST_S
         self.welcome = True
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
-        self.owner.idle[self] = None
+        self.owner.silent[self] = None
         self.welcome = self.owner.opened(self)
 
-    # Reading.
+    # Reading.  A callback that raises Unreadable ends the parsing of what came; `wrong` tells how to answer.
 
     def data_received(self, data: bytes) -> None:
+        self.owner.silent.pop(self, None)
+        self.seen += len(data)
         if self.phase is Phase.LAST:
+            if self.seen > LINGER_MOST:
+                self.transport.pause_reading()  # guards our time: 60 MB need not be read to be turned away
             return
-        self.seen += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self.last = True  # no other protocol is spoken here, so what follows can't be read
         except httptools.HttpParserError:
-            if not self.last:
-                self._reject(400)
+            if self.phase is Phase.IDLE and self.last:
+                self.transport.pause_reading()  # its last request is in; nothing that follows is wanted
+            else:
+                self._reject(self.wrong or 400)
             return
         if self.seen > HEAD_MOST and self.phase is Phase.HEAD:
             self._reject(431)
@@ -175,80 +199,106 @@
             self._reject(400)
 
     def on_message_begin(self) -> None:
+        if self.phase is Phase.LAST:
+            raise Unreadable
+        self.owner.idle.pop(self, None)
+        if self.begun == math.inf:  # the first request's time began with the connection
+            self.begun = time.monotonic()
         self.url, self.headers, self.body = b"", [], b""
-        self.ask, self.wrong, self.stepped = None, 0, 0
+        self.ask, self.wrong, self.fields, self.length = None, 0, 0, 0
         self.phase = Phase.HEAD
-        self.owner.idle.pop(self, None)
-        self.begun = time.monotonic()
-        self.due = self.begun + HEAD_S
+        self.due = self.begun + REQUEST_S
 
     def on_url(self, url: bytes) -> None:
         self.url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        self.fields += len(name) + len(value) + 4
+        if self.fields > HEAD_MOST or len(self.headers) >= FIELDS_MOST:
+            self._refuse(431)
         if self.phase is Phase.HEAD:
             self.headers.append((name.lower(), value))
 
+    def _refuse(self, status: int) -> None:
+        self.wrong = status
+        raise Unreadable
+
     def on_headers_complete(self) -> None:
-        if self.phase is not Phase.HEAD:
-            return
-        self.phase = Phase.BODY
-        headers = self.headers
-        if len(self.url) + sum(len(name) + len(value) + 4 for name, value in headers) > HEAD_MOST:
-            self._reject(431)
-            return
+        headers, self.phase = self.headers, Phase.BODY
+        if len(self.url) + self.fields > HEAD_MOST:
+            self._refuse(431)
         self.seen = 0
-        fields = dict(reversed(headers))  # the first of each name
+        names = [name for name, _ in headers if name in ONCE]
+        fields = dict(headers)
+        # guards rule 2: a message with two lengths may hide another request in its body
+        if len(set(names)) < len(names) or (b"content-length" in fields and b"transfer-encoding" in fields):
+            self._refuse(400)
+        if fields.get(b"transfer-encoding", b"chunked").lower() != b"chunked":
+            self._refuse(400)
         length = fields.get(b"content-length", b"0")
-        if not length.isdigit() or len(length) > 12 or int(length) > BODY_MOST:
-            self._reject(413)
-            return
-        self.due = self.begun + HEAD_S + BODY_S
+        if not length.isdigit():
+            self._refuse(400)
+        if len(length) > 12 or int(length) > BODY_MOST:
+            self._refuse(413)
         if not self.parser.should_keep_alive():
             self.last = True
         self._read_head(self.parser.get_method(), fields)
-        if b"expect" in fields and fields[b"expect"].lower() == b"100-continue" and not self.request:
+        if 400 <= self.wrong < 500:
+            self._refuse(self.wrong)  # the body need not come
+        if fields.get(b"expect", b"").lower() == b"100-continue" and not self.request:
             if self.wrong or not self.welcome:
-                self._reject(self.wrong or 503)  # the body need not come
-            else:
-                self.transport.write(CONTINUE)
+                self._refuse(self.wrong or 503)
+            self.transport.write(CONTINUE)
 
     def _read_head(self, method: bytes, fields: dict[bytes, bytes]) -> None:
+        """What no backend could use is turned away here: it costs backends nothing, nor their health."""
+        proxy = self.owner.proxy
         path = self.url.partition(b"?")[0]
+        parts = path.split(b"/")
+        named = parts[1] if len(parts) > 1 and not parts[0] else b""
         if method not in METHODS:
-            self.wrong, self.last = 405, True
-        elif path == b"/_health":
-            self.wrong = 200 if self.owner.proxy.serves() and not self.owner.draining else 503
-        elif not path.startswith(b"/") or not fields.get(b"x-request-id"):
+            self.wrong = 405
+            return
+        if path == b"/_health":
+            self.wrong = 200 if proxy.serves() and not self.owner.draining else 503
+            return
+        deadline = fields.get(b"x-deadline-ms")
+        name, klass = fields.get(b"x-request-id"), proxy.classes.get(named.decode("latin-1"))
+        if (
+            klass is None
+            or not name
+            or not self.url.isascii()
+            or fields.get(b"x-class", named) != named
+            or (deadline is not None and not (deadline.isdigit() and len(deadline) <= 12))
+            or (klass.effect is Effect.KEYED and not fields.get(b"idempotency-key"))
+        ):
             self.wrong = 400
-        else:
-            parts = path.split(b"/")
-            deadline = figure(fields.get(b"x-deadline-ms", b""), DEADLINE_MOST_MS)
-            hint = figure(fields.get(b"x-cost-hint", b""), HINT_MOST_US)
-            head = b"%b %b HTTP/1.1\r\n%b" % (method, self.url, end_to_end(self.headers, READ_HERE))
-            self.ask = Ask(
-                head,
-                (fields.get(b"x-class") or parts[1]).decode("latin-1"),
-                fields.get(b"x-tenant", b"").decode("latin-1"),
-                parts[-1] if len(parts) > 2 else b"",
-                deadline,
-                (hint or 0.0) / 1000.0,
-                fields.get(b"x-retry") == b"1",
-                method != b"GET",
-            )
+            return
+        if method == b"GET" and klass.effect is not Effect.IDEMPOTENT:
+            self.wrong = 405
+            return
+        hint = figure(fields.get(b"x-cost-hint", b""), HINT_MOST_US)
+        self.ask = Ask(
+            b"%b %b HTTP/1.1\r\n%b" % (method, self.url, end_to_end(self.headers, READ_HERE)),
+            name,
+            klass.name,
+            fields.get(b"x-tenant", b"").decode("latin-1"),
+            parts[-1] if len(parts) > 2 else b"",
+            min(float(deadline), proxy.deadline_most_ms) if deadline else None,
+            (hint or 0.0) / 1000.0,
+            fields.get(b"x-retry") == b"1",
+            method != b"GET",
+        )
 
     def on_body(self, data: bytes) -> None:
-        size = len(self.body) + len(data)
+        self.length += len(data)
         self.seen = 0
-        self.stepped += len(data)
-        if self.stepped >= BODY_STEP:
-            self.stepped, self.due = 0, time.monotonic() + BODY_S
+        if self.length > BODY_MOST:
+            self._refuse(413)
         if self.wrong:
             return
-        if size > BODY_MOST:
-            self._reject(413)
-        elif not self.welcome or not self.owner.proxy.budget.take(
-            len(data), 1.0 if size <= SMALL_BODY else LARGE_SHARE
+        if not self.welcome or not self.owner.proxy.budget.take(
+            len(data), 1.0 if self.length <= SMALL_BODY else LARGE_SHARE
         ):
             self._forget_body()
             self.wrong = 503  # nothing of it ran; the client reads so once its body is out
@@ -264,11 +314,9 @@
         self.body = b""
 
     def on_message_complete(self) -> None:
-        if self.phase is not Phase.BODY:
-            return
-        self.phase, self.seen, self.due = Phase.IDLE, 0, math.inf
+        self.phase, self.seen, self.due, self.begun = Phase.IDLE, 0, math.inf, math.inf
         read = (self.ask, self.wrong, self.body)
-        self.body, self.headers, self.ask = b"", [], None
+        self.body, self.headers, self.ask, self.url = b"", [], None, b""
         if self.request is None and not self.early:
             self._serve(*read)
         elif len(self.early) < EARLY_MOST:
@@ -276,14 +324,17 @@
             self.transport.pause_reading()  # one at a time; so it can't be seen leaving until then
         else:
             self.owner.proxy.budget.give(len(read[2]))
-            self.phase, self.last = Phase.LAST, True
+            self._refuse(429)
 
     def _serve(self, ask: Ask | None, wrong: int, body: bytes | bytearray) -> None:
         proxy = self.owner.proxy
         if not self.welcome:
             wrong, self.last = wrong or 503, True
+        if ask and not wrong and ask.name in proxy.names:
+            wrong = 400  # guards rules 1 and 2: the id of an open request tells which answer is whose
         if ask is None or wrong:
             proxy.budget.give(len(body))
+            self.last = self.last or 400 <= wrong < 500  # who can't ask right need not ask again here
             self.answer(wrong or 400, b"")
             return
         # a body of the framing that backends get: always its length
@@ -296,17 +347,12 @@
 
     def answer(self, status: int, lines: bytes, body: bytes = b"") -> None:
         self.last = self.last or self.owner.draining
-        head = answer_head(status, lines, len(body), self.last)
-        self.transport.write(head + body)
-        self._answered()
-
-    def _answered(self) -> None:
-        self.request, self.source = None, None
-        self.answers += 1
+        self.transport.write(answer_head(status, lines, len(body), self.last and not self.early) + body)
+        self.request = None
         if self.early:
             self.owner.loop.call_soon(self._serve_early)
         elif self.last:
-            self.close()
+            self._linger()
         elif self.phase is Phase.IDLE:
             self.due = time.monotonic() + IDLE_S
             self.owner.idle[self] = None
@@ -314,72 +360,54 @@
     def _serve_early(self) -> None:
         if self.early and self.request is None and not self.transport.is_closing():
             read = self.early.popleft()
-            if not self.early and self.phase is not Phase.LAST:
+            if not self.early and self.phase is not Phase.LAST and not self.paused:
                 self.transport.resume_reading()
             self._serve(*read)
 
-    def stream(self, source: Link, lines: bytes, length: int | None) -> None:
-        self.last = self.last or self.owner.draining
-        self.source = source
-        old = self.parser.get_http_version() == "1.0"
-        self.unframed = length is not None or old
-        if length is None and old:
-            self.last = True
-        self.transport.write(answer_head(200, lines, length, self.last))
-
-    def pass_on(self, data: bytes) -> None:
-        if self.unframed:
-            self.transport.write(data)
-        else:
-            self.transport.writelines((b"%x\r\n" % len(data), data, b"\r\n"))
-
-    def stream_ended(self) -> None:
-        if not self.unframed:
-            self.transport.write(b"0\r\n\r\n")
-        self._answered()
-
-    def stream_broke(self) -> None:
-        """Visible to the client: the length or the last chunk is missing."""
-        self.request, self.source = None, None
-        self.abort()
-
     def pause_writing(self) -> None:
+        """The client reads too slowly: nothing more is read from it until it has caught up."""
         self.paused = True
         self.due = time.monotonic() + WRITE_S
-        if self.source:
-            self.source.hold_back(True)
+        self.transport.pause_reading()
 
     def resume_writing(self) -> None:
         self.paused = False
-        self.due = math.inf if self.request else time.monotonic() + IDLE_S
-        if self.source:
-            self.source.hold_back(False)
+        self.due = math.inf if self.request else time.monotonic() + LINGER_S
+        if not self.early:
+            self.transport.resume_reading()
 
     def _reject(self, status: int) -> None:
-        """Answer what can't be served and read on for a while, lest a reset overtake the answer."""
+        """Answer what can't be served.  Answers owed for what came before it go out first, and alone."""
         self._forget_body()
+        self.url, self.headers, self.ask = b"", [], None
         self.owner.idle.pop(self, None)
-        self.phase, self.last = Phase.LAST, True
+        self.phase, self.last, self.due = Phase.LAST, True, math.inf
         if self.request is None and not self.early:
             self.transport.write(answer_head(status, b"", 0, True))
             self._linger()
 
     def _linger(self) -> None:
-        self.phase = Phase.LAST
-        self.begun = time.monotonic()
-        self.due = self.begun + LINGER_S
-        if self.transport.can_write_eof():
+        """End our side, and read on for a while, lest a reset overtake the answer."""
+        self.owner.idle.pop(self, None)
+        self.phase, self.seen = Phase.LAST, 0
+        self.due = time.monotonic() + LINGER_S
+        if self.transport.can_write_eof() and not self.transport.is_closing():
             self.transport.write_eof()
 
     # Ending.
 
     def overdue(self) -> None:
-        if self.phase in (Phase.HEAD, Phase.BODY) and not self.paused:
+        if self.request or self.early:
+            if self.paused:
+                self.transport.abort()  # it does not take the answers it has
+            else:
+                self._reject(408)  # of the next one only a part came
+        elif self.phase in (Phase.HEAD, Phase.BODY):
             self._reject(408)
-        elif self.phase is Phase.IDLE and not self.paused and not self.transport.get_write_buffer_size():
+        elif self.phase is Phase.IDLE and not self.transport.get_write_buffer_size():
             self.close()
         else:
-            self.abort()
+            self.transport.abort()
 
     def close(self) -> None:
         self.owner.idle.pop(self, None)
@@ -388,6 +416,7 @@
         self.transport.close()
 
     def abort(self) -> None:
+        self.owner.closed(self)  # its descriptor is as good as free
         self.transport.abort()
 
     def eof_received(self) -> bool:
@@ -399,6 +428,7 @@
         for _, _, body in self.early:
             self.owner.proxy.budget.give(len(body))
         self.early.clear()
-        request, self.request, self.source = self.request, None, None
+        request, self.request = self.request, None
         if request:
             self.owner.proxy.client_gone(request)
+        del self.parser  # it refers back to us, and the collector would come late
--- a/dykemux/config.py
+++ b/dykemux/config.py
@@ -19,8 +19,9 @@
 from flintplank.wire import Fields, WireError, settings_of
 
 MB = 1 << 20
-BASE_MB = 48  # of memory for the interpreter, the module and the connections' own books
-BODY_SHARE = 0.6  # of the rest for bodies and held answers; parsing and garbage take their part too
+BASE_MB = 28  # of memory for the interpreter, the module and the connections' own books
+BODY_SHARE = 0.4  # of the rest for bodies and held answers; parsing and garbage take their part too
+BODY_LEAST_MB = 1.0  # under which too few requests could be held to be of use
 OWN_DESCRIPTORS = 32  # standard streams, event loop, listener, discovery, and some to spare
 BACKEND_SHARE = 0.45  # of the other descriptors; so no crowd of clients can take what backends need
 CROWD_SHARE = 0.1  # over what clients may hold, only to tell the newest that it is refused
@@ -68,8 +69,6 @@
         sockets = min(sockets, soft)
     if sockets < 2 * OWN_DESCRIPTORS:
         raise ConfigError(f"limits.sockets: at least {2 * OWN_DESCRIPTORS} are needed, not {sockets}")
-    if memory <= BASE_MB:
-        raise ConfigError(f"limits.memory_mb: more than {BASE_MB} are needed, not {memory:g}")
     fields = Fields(0, dict(_flat("", _object(told, "settings"))))
     try:
         settings = settings_of(fields)
@@ -92,7 +91,7 @@
         known,
         conn_idle,
         grace,
-        int((memory - BASE_MB) * BODY_SHARE * MB),
+        int(max(BODY_LEAST_MB, (memory - BASE_MB) * BODY_SHARE) * MB),
         shared - backend - crowd,
         crowd,
         backend,
--- a/dykemux/http1.py
+++ b/dykemux/http1.py
@@ -7,12 +7,16 @@
 import sys
 import time
 
-HEAD_MOST = 32 << 10  # bytes of a head; of a trailer too
-BODY_MOST = 32 << 20  # bytes of a body
-HOLD_MOST = 64 << 10  # an answer up to this is held until whole; a larger one is passed on as it comes
+HEAD_MOST = 16 << 10  # bytes of a head; of a trailer too
+BODY_MOST = 64 << 10  # bytes of a body, either way
 
 Headers = list[tuple[bytes, bytes]]  # names in lower case
 
+
+class Unreadable(Exception):
+    """Raised in a parser's callback: what comes is past any use, so the rest of the segment is not parsed."""
+
+
 HOP_BY_HOP = frozenset((
     b"connection", b"keep-alive", b"proxy-authenticate", b"proxy-authorization", b"proxy-connection", b"te",
     b"trailer", b"transfer-encoding", b"upgrade", b"content-length", b"expect", b"http2-settings",
@@ -35,9 +39,9 @@
     return b"".join([b"%b: %b\r\n" % header for header in kept])
 
 
-def answer_head(status: int, lines: bytes, length: int | None, close: bool) -> bytes:
-    """The head of an answer to a client; with no length its body is chunked."""
-    framing = b"Transfer-Encoding: chunked" if length is None else b"Content-Length: %d" % length
+def answer_head(status: int, lines: bytes, length: int, close: bool) -> bytes:
+    """The head of an answer to a client."""
+    framing = b"Content-Length: %d" % length
     ending = b"\r\nConnection: close\r\n\r\n" if close else b"\r\n\r\n"
     return b"HTTP/1.1 %d %b\r\n%b%b%b" % (status, REASONS[status], lines, framing, ending)
 
@@ -78,8 +82,6 @@
     logging.basicConfig(level=logging.INFO, handlers=[handler])
 
 
-
-
 class Budget:
     """Bytes that may be held for all requests and answers together."""
 
--- a/dykemux/proxy.py
+++ b/dykemux/proxy.py
@@ -24,7 +24,7 @@
 if TYPE_CHECKING:
     from dykemux.clients import Client
 
-DEADLINE_MOST_MS = 3_600_000.0  # a client that would wait longer is taken to wait this long
+RETRY_TIMER_S = 0.2  # a timer that the module failed on comes again
 HINT_MOST_US = 60e6  # a dearer hint would fill the boards with one request
 
 log = logging.getLogger(__name__)
@@ -35,6 +35,7 @@
     """What a client's head says, checked."""
 
     head: bytes  # request line and header lines for a backend, without the time left
+    name: bytes = b""  # X-Request-Id
     klass: str = ""
     tenant: str = ""
     key: bytes = b""
@@ -55,8 +56,8 @@
     attempts: list[Attempt] = field(default_factory=list)
     out: int = 0
     over: bool = False
-    streaming: Attempt | None = None
     last: api.Outcome = api.Outcome.NOT_SENT
+    name: bytes = b""  # the client's id
 
 
 def number_of(name: bytes) -> int:
@@ -75,6 +76,7 @@
         self.nodes: dict[int, Node] = {}
         self.numbers: dict[str, int] = {}
         self.requests: dict[int, Request] = {}  # those not over, or with attempts out
+        self.names: set[bytes] = set()  # of the same requests
         self.budget = Budget(config.body_bytes)
         self.last_ident = 0
         self.events: deque[api.Event] = deque()
@@ -94,8 +96,8 @@
     def _settle(self, settings: api.Settings) -> None:
         self.settings = settings
         self.tenants = {tenant.name for tenant in settings.tenants}
-        self.deadlines = {klass.name: klass.deadline_ms for klass in settings.classes}
-        self.deadline_most_ms = max(self.deadlines.values())
+        self.classes = {klass.name: klass for klass in settings.classes}
+        self.deadline_most_ms = max(klass.deadline_ms for klass in settings.classes)
 
     def serves(self) -> bool:
         return any(node.listed for node in self.nodes.values())
@@ -113,6 +115,8 @@
                     actions = self.balancer.handle((self.origin + time.monotonic()) * 1000.0, event)
                 except Exception as error:  # no event may end the process; the deadline answers its request
                     log.error("module: %s: %s on %.200r", type(error).__name__, error, event)
+                    if isinstance(event, api.TimerFired):  # or what the timer keeps going would stop for good
+                        self.loop.call_later(RETRY_TIMER_S, self.tell, event)
                     continue
                 for action in actions:
                     self._carry_out(action)
@@ -134,7 +138,7 @@
                 self.loop.call_later(delay_ms / 1000.0 + 0.001, self.tell, api.TimerFired(token))
             case api.CancelAttempt(ident, number):
                 request = self.requests.get(ident)
-                if request and request.streaming is not request.attempts[number]:
+                if request:
                     self.pool.give_up(request.attempts[number], api.Outcome.CANCELLED)
             case api.WatchList():
                 self.discovery.watch()
@@ -153,10 +157,12 @@
         now = time.monotonic()
         left_ms = ask.time_left_ms
         if left_ms is None:
-            left_ms = self.deadlines.get(ask.klass, self.deadline_most_ms)
+            klass = self.classes.get(ask.klass)
+            left_ms = klass.deadline_ms if klass else self.deadline_most_ms
         self.last_ident += 1
-        request = Request(self.last_ident, client, ask.head, body, now + left_ms / 1000.0)
+        request = Request(self.last_ident, client, ask.head, body, now + left_ms / 1000.0, name=ask.name)
         self.requests[request.ident] = request
+        self.names.add(request.name)
         request.timer = self.loop.call_later(left_ms / 1000.0, self._deadline, request)
         self.tell(
             api.Arrival(
@@ -178,45 +184,29 @@
         ends_at = min(request.deadline, now + timeout_ms / 1000.0) if timeout_ms else request.deadline
         attempt = Attempt(request, number, node or Node(backend, "", ("", 0), 0.0), now, ends_at)
         request.attempts.append(attempt)
-        barred = request.over or request.streaming or number >= self.settings.max_attempts
+        barred = request.over or number >= self.settings.max_attempts
         if barred or node is None or now >= ends_at:
             attempt.ended = True
             self.tell(api.AttemptEnded(ident, number, backend, api.Outcome.NOT_SENT, 0.0, request.over))
             return
         if ends_at < request.deadline:
-            self.loop.call_later(ends_at - now, self.pool.give_up, attempt, api.Outcome.TIMEOUT)
+            wait = ends_at - now
+            attempt.timer = self.loop.call_later(wait, self.pool.give_up, attempt, api.Outcome.TIMEOUT)
         self.pool.start(attempt)
 
     def attempt_ended(self, attempt: Attempt, outcome: api.Outcome, answer: Answer | None) -> None:
         request, node = attempt.request, attempt.node
         request.last = outcome
-        if attempt is request.streaming:
-            self._over(request)
-        elif answer and request.client and not request.streaming:
-            request.client.answer(200, answer.lines, answer.body)
+        if answer and request.client:
+            client = request.client
             self._over(request)
+            client.answer(answer.status, answer.lines, answer.body)
         if request.over and not request.out and request.timer:
             request.timer.cancel()
         ids, took_ms = (request.ident, attempt.number, node.number), self._since(attempt)
         self.tell(api.AttemptEnded(*ids, outcome, took_ms, request.over))
         self._forget(node)
 
-    def stream_begins(self, attempt: Attempt, lines: bytes, length: int | None) -> Client | None:
-        """Pass a large answer on as it comes: it is the client's now, and its deadline is lifted."""
-        request, client = attempt.request, attempt.request.client
-        if client is None or request.streaming or attempt.link is None:
-            return None
-        request.streaming = attempt
-        if request.timer:
-            request.timer.cancel()
-        for other in request.attempts:
-            if other is not attempt:
-                self.pool.give_up(other, api.Outcome.CANCELLED)
-        client.stream(attempt.link, lines, length)
-        ids = (request.ident, attempt.number, attempt.node.number)
-        self.tell(api.StreamStarted(*ids, self._since(attempt)))
-        return client
-
     def _since(self, attempt: Attempt) -> float:
         return (time.monotonic() - attempt.started) * 1000.0
 
@@ -227,8 +217,6 @@
         if request.over:
             return
         self._over(request)
-        if request.streaming:
-            self.pool.give_up(request.streaming, api.Outcome.CANCELLED)
         self.tell(api.ClientGone(request.ident))
 
     def _deadline(self, request: Request) -> None:
@@ -244,7 +232,7 @@
 
     def _finish(self, ident: int, status: int, retry_after_ms: float) -> None:
         request = self.requests.get(ident)
-        if request is None or request.over or request.streaming:
+        if request is None or request.over:
             return
         if status == 502 and request.last is api.Outcome.TIMEOUT:
             status = 504
@@ -256,7 +244,10 @@
         self._drop(ident)
 
     def _over(self, request: Request) -> None:
+        """Nothing more goes out for it, so what a further attempt would need is let go."""
         request.over, request.client = True, None
+        self.budget.give(len(request.body))
+        request.head = request.body = b""
         if not request.out and request.timer:
             request.timer.cancel()
 
@@ -264,7 +255,7 @@
         request = self.requests.get(ident)
         if request and request.over and not request.out:
             del self.requests[ident]
-            self.budget.give(len(request.body))
+            self.names.discard(request.name)
             request.attempts.clear()
 
     # The list.
--- a/flintplank/choice.py
+++ b/flintplank/choice.py
@@ -28,6 +28,7 @@
 BEAR_OVER_SHARE = 0.2  # the same beyond a tenant's share (ours)
 SHARE_BURST_MS = 2000.0  # of a tenant's quota saved up at most (ours)
 KEY_HOMES, KEY_SLACK = 2, 3.0  # backends that share a key; mean costs one may be booked over the rest (ours)
+HOMES_MOST = 4096  # keys whose homes are remembered (ours)
 MIX = (0x9E3779B97F4A7C15, 0xBF58476D1CE4E5B9)  # odd multipliers of the rendezvous hash (common ones)
 CROSS_FOR = 2.0  # share of the aim a wait must cost, per point of the price, to cross zones (ours)
 NEAR_TRIES = 2  # attempts in our own zone before others take turns alike (ours)
@@ -164,6 +165,7 @@
     def _settle(self, settings: api.Settings) -> None:
         self.settings = settings
         self.classes = {klass.name: klass for klass in settings.classes}
+        self.aims = [klass.aim_ms for klass in settings.classes]
         self.most_worth = max(klass.worth for klass in settings.classes)
         self.quotas = {tenant.name: tenant.quota_per_s / settings.proxies for tenant in settings.tenants}
 
@@ -242,6 +244,8 @@
         if lightest is None or key is None or not self.settings.warm_keys:
             return lightest
         if key not in self.homes:
+            if len(self.homes) >= HOMES_MOST:  # keys are ever new: the one known longest is worked out again
+                del self.homes[next(iter(self.homes))]
             near = [i for i, b in self.backends.items() if self._is_near(b.info) or not self.near]
             self.homes[key] = nlargest(KEY_HOMES, near, key=lambda i: (key ^ i * MIX[0]) * MIX[1] % 2**64)
         # hot keys must spread, and compressed weights would hide how much a hot one's home is booked
@@ -301,7 +305,7 @@
             self.requests.pop(ended.request, None)
         attempt.may_have_run = ended.outcome not in api.NEVER_RAN
         self.ended.now += attempt.may_have_run
-        self._judge(now, attempt.to, ended.outcome)
+        self._judge(now, attempt.to, ended)
         if ended.outcome is api.Outcome.SERVED:
             self.served.now += attempt.cost
             if self._ramp(attempt.to, now) >= 1.0:
@@ -309,8 +313,11 @@
         if request and not ended.finished:
             self._go_on(now, request)
 
-    def _judge(self, now: float, backend: Backend, outcome: api.Outcome) -> None:
+    def _judge(self, now: float, backend: Backend, ended: api.AttemptEnded) -> None:
         """Booked cost ignores how attempts end, so a backend that fails fast would keep its share: rest."""
+        outcome = ended.outcome
+        if outcome is api.Outcome.TIMEOUT and ended.latency_ms < min(self.aims):
+            return  # no backend could have served a client that waits so little
         if outcome is api.Outcome.SERVED:
             backend.strikes = max(0.0, backend.strikes - REDEEM)
         elif outcome not in (api.Outcome.REJECTED, api.Outcome.CANCELLED, api.Outcome.NOT_SENT):
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -44,6 +44,7 @@
         self.address = ""
         self.opened = 0
         self.writers: list[asyncio.StreamWriter] = []
+        self.ends: dict[asyncio.StreamWriter, asyncio.Event] = {}
 
     async def __aenter__(self) -> Self:
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -54,8 +55,14 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.opened += 1
         self.writers.append(writer)
+        self.ends[writer] = asyncio.Event()
         with suppress(OSError, asyncio.IncompleteReadError):
             await self.talk(reader, writer)
+        self.ends[writer].set()
+
+    async def ended(self) -> None:
+        """The newest connection has ended."""
+        await self.ends[self.writers[-1]].wait()
 
     async def __aexit__(self, *_: object) -> None:
         self.server.close()
@@ -109,7 +116,6 @@
         super().__init__(self._watch)
         self.entries = list(entries)
         self.watched = asyncio.Event()
-        self.ended = asyncio.Event()
 
     async def _watch(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await head_of(reader)
@@ -117,7 +123,6 @@
         writer.write(head + self._line(True, self.entries))
         self.watched.set()
         await reader.read()
-        self.ended.set()
 
     def _line(self, whole: bool, entries: list[dict[str, Any]]) -> bytes:
         line = json.dumps({"index": 7, "snapshot": whole, "endpoints": entries}).encode() + b"\n"
--- /dev/null
+++ b/tests/test_bad_backends.py
@@ -0,0 +1,148 @@
+"""Backends whose answers are spoilt, or bring more than belongs to them."""
+
+import asyncio
+from contextlib import suppress
+from pathlib import Path
+
+import pytest
+
+from tests.loopback import (
+    Backend,
+    Discovery,
+    Talk,
+    answer_of,
+    configuration,
+    entry,
+    node,
+    ok,
+    request,
+    request_of,
+    run,
+)
+
+OK = b"HTTP/1.1 200 OK\r\n"
+HINTS = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n"
+LARGE = b"8000\r\n%b\r\n" % (b"x" * 32768) * 3
+SPOILT = {
+    "noise": b"\xd9\xd7M\x15y}V\x94e\xee\r\n\r\n",
+    "another protocol": b"ICY 200 OK\r\nContent-Length: 4\r\n\r\nride",
+    "a status that is none": b"HTTP/1.1 0x200 OK\r\nContent-Length: 4\r\n\r\nride",
+    "two lengths": OK + b"Content-Length: 3\r\nContent-Length: 4\r\n\r\nride",
+    "a negative length": OK + b"Content-Length: -4\r\n\r\nride",
+    "a length and chunks": OK + b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    "a chunk that is none": OK + b"Transfer-Encoding: chunked\r\n\r\n4\r\nride\r\nzz\r\nride\r\n",
+    "a line without a colon": OK + b"no colon here\r\nContent-Length: 4\r\n\r\nride",
+    "three gigabytes": OK + b"Content-Length: 3000000000\r\n\r\n" + b"x" * 100_000,
+    "chunks of too much": OK + b"Transfer-Encoding: chunked\r\n\r\n" + LARGE,
+    "a field without end": OK + b"X-Pad: " + b"p" * 100_000,
+    "fields without end": OK + b"X-Pad: pppp\r\n" * 10_000,
+    "half an answer": OK + b"Content-Length: 400\r\n\r\nride",
+    "no length": OK + b"\r\nride",
+    "another protocol's turn": b"HTTP/1.1 101 Other\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n",
+}  # fmt: skip
+GOOD = {
+    "early hints": HINTS + ok(b"ride"),
+    "a load report of noise": OK + b"X-Load: %%%=,={\"\r\nContent-Length: 4\r\n\r\nride",
+    "its own end": OK + b"Connection: close\r\nContent-Length: 4\r\n\r\nride",
+}  # fmt: skip
+
+
+def spoiler(spoilt: bytes, ended: asyncio.Event) -> Talk:
+    """The first request gets `spoilt` on a connection that stays open until the other side ends it."""
+    first = [spoilt]
+
+    async def talk(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            head, _ = await request_of(reader)
+            if not first:
+                writer.write(ok(head["x-request-id"].encode()))
+                continue
+            writer.write(first.pop())
+            with suppress(ConnectionError):
+                assert await reader.read(1) == b""  # nothing is asked again on this connection
+            ended.set()
+            return
+
+    return talk
+
+
+@pytest.mark.parametrize("spoilt", SPOILT.values(), ids=SPOILT.keys())
+def test_a_spoilt_answer_is_retried_and_ends_its_connection(tmp_path: Path, spoilt: bytes) -> None:
+    async def talk() -> None:
+        ended = asyncio.Event()
+        async with Backend() as one, Backend() as two:
+            one.talk = two.talk = spoiler(spoilt, ended)
+            known = [entry("b1", one.address), entry("b2", two.address)]
+            async with (
+                Discovery(*known) as discovery,
+                node(tmp_path, configuration(discovery.address, *known)) as proxy,
+            ):
+                assert await proxy.ask("a1") == ("200", b"a1")
+                await ended.wait()
+                assert await proxy.ask("a2") == ("200", b"a2")
+
+    run(talk())
+
+
+@pytest.mark.parametrize("good", GOOD.values(), ids=GOOD.keys())
+def test_an_odd_answer_that_is_whole_is_served(tmp_path: Path, good: bytes) -> None:
+    async def talk() -> None:
+        async with Backend(lambda head, body: good) as backend:
+            known = [entry("b1", backend.address)]
+            async with (
+                Discovery(*known) as discovery,
+                node(tmp_path, configuration(discovery.address, *known)) as proxy,
+            ):
+                for ident in ("a1", "a2"):
+                    assert await proxy.ask(ident) == ("200", b"ride")
+
+    run(talk())
+
+
+@pytest.mark.parametrize("beyond", [ok(b"copy"), b"\x00noise\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Le"])
+@pytest.mark.parametrize("together", [True, False])
+def test_bytes_beyond_an_answer_end_its_connection(tmp_path: Path, beyond: bytes, together: bool) -> None:
+    async def talk() -> None:
+        async with Backend() as backend:
+            backend.reply = lambda head, body: (
+                ok(head["x-request-id"].encode()) + (beyond if together else b"")
+            )
+            known = [entry("b1", backend.address)]
+            async with (
+                Discovery(*known) as discovery,
+                node(tmp_path, configuration(discovery.address, *known)) as proxy,
+            ):
+                reader, writer = await proxy.connect()
+                for number in range(1, 5):
+                    writer.write(request(f"a{number}"))
+                    assert await answer_of(reader) == ("200", b"a%d" % number)
+                    if not together:
+                        backend.writers[-1].write(beyond)
+                        await backend.ended()
+                assert backend.opened == 4  # none of them carried a second request
+
+    run(talk())
+
+
+def test_what_the_backend_cannot_use_is_the_clients_fault(tmp_path: Path) -> None:
+    async def talk() -> None:
+        async with Backend() as one, Backend() as two:
+            for backend in (one, two):
+                backend.reply = lambda head, body: (
+                    ok(b"ride") if body == b"ride" else b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
+                )
+            known = [entry("b1", one.address), entry("b2", two.address)]
+            async with (
+                Discovery(*known) as discovery,
+                node(tmp_path, configuration(discovery.address, *known)) as proxy,
+            ):
+                for number in range(6):
+                    reader, writer = await proxy.connect()
+                    writer.write(request(f"a{number}", body=b"????"))
+                    status, _ = await answer_of(reader)
+                    assert status == "400"
+                assert len(one.seen) + len(two.seen) == 6  # no other backend is asked
+                assert [(await proxy.ask(f"g{number}"))[0] for number in range(8)] == ["200"] * 8
+                assert min(len(one.seen), len(two.seen)) > 3  # neither rests
+
+    run(talk())
--- a/tests/test_extensions.py
+++ b/tests/test_extensions.py
@@ -75,6 +75,28 @@
     assert len(firsts(host)) == 200
 
 
+def test_clients_that_wait_too_little_tell_nothing_of_a_backend() -> None:
+    host = host_of(1)
+    for _ in range(20):
+        ident = host.arrive(left=30.0)
+        assert host.owed[ident].attempts  # it does not rest
+        host.run_to(host.now + 40.0)
+    rests = host_of(1)
+    for _ in range(20):
+        ident = rests.arrive(left=600.0)
+        rests.run_to(rests.now + 700.0)
+    assert sum(bool(owed.attempts) for owed in rests.owed.values()) < 20
+
+
+def test_keys_that_are_ever_new_leave_nothing_behind() -> None:
+    host = Host(Settings((READ,), warm_keys=True))
+    host.listed(ListKind.CACHED, *fleet(3))
+    for key in range(6000):
+        host.end(host.arrive(key=key), 0, Outcome.SERVED, 60.0)
+        host.now += 5.0
+    assert len(host.balancer.homes) <= 4096
+
+
 def test_an_overload_is_refused_early_and_ends_with_it() -> None:
     host = host_of(2)
     drive(host, 3000.0, 20.0)
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -22,7 +22,7 @@
                 proxy.path.write_text(json.dumps(config | {"discovery": second.address}))
                 proxy.signal(signal.SIGHUP)
                 await second.watched.wait()
-                await first.ended.wait()  # only once the new one is up
+                await first.ended()  # only once the new one is up
                 old.writers[0].write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")
                 assert await answer_of(reader) == ("200", b"done")
                 assert await proxy.ask("a2") == ("200", b"a2")
@@ -44,7 +44,7 @@
                     proxy.signal(signal.SIGHUP)
                     assert "stays in force" in await proxy.log_line("reload")
                 assert await proxy.ask("a1") == ("200", b"a1")
-                assert second.opened == 0 and not first.ended.is_set()
+                assert second.opened == 0 and not first.ends[first.writers[-1]].is_set()
                 proxy.path.write_text(json.dumps(config | {"discovery": second.address}))
                 proxy.signal(signal.SIGHUP)  # and a good one is still taken
                 await second.watched.wait()
