--- a/dykemux/discovery.py
+++ b/dykemux/discovery.py
@@ -238,6 +238,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         self._fail(f"connection lost: {error or 'ended'}")
+        del self.parser  # it refers back to us
 
     def _take(self, text: bytes) -> bool:
         try:
--- a/flintplank/choice.py
+++ b/flintplank/choice.py
@@ -20,6 +20,8 @@
 RETRY_SHARE, RETRY_BURST = 0.2, 10.0  # retries after attempts that may have run, per first try (ours)
 BOOKED_SHARE = 0.9  # of the fleet's time that the boards of one proxy hold on average (ours)
 STRIKES_MOST, REDEEM = 5.0, 0.5  # failures that count at most; made up for by one served (ours)
+LONE = (api.Outcome.ERROR, api.Outcome.RESET)  # tell of a backend only when they come together (ours)
+LONE_MOST = 1.0  # strikes by these that a backend may have and still take turns (ours)
 RESTING_MOST = 0.5  # of the fleet rests at once, lest a fault common to all empties it (ours)
 SEEN_LEAST = 0.2  # of the smoothing time that must have passed before the rates tell a wait (ours)
 OUT_STEP = 0.4  # smoothing of the attempts out, a period (ours)
@@ -297,7 +299,8 @@
         attempt = self.sent.pop((ended.request, ended.attempt))
         # what is still out keeps its backend booked past the end of its booking: slow and hung ones show
         attempt.to.held -= attempt.held
-        attempt.to.weight += attempt.held
+        if ended.outcome is not api.Outcome.REJECTED:  # a full one is no lighter before the next update
+            attempt.to.weight += attempt.held
         if self.backends.get(ended.backend) is attempt.to:
             self._queue_turn(attempt.to)
         request = self.requests.get(ended.request)
@@ -322,6 +325,8 @@
             backend.strikes = max(0.0, backend.strikes - REDEEM)
         elif outcome not in (api.Outcome.REJECTED, api.Outcome.CANCELLED, api.Outcome.NOT_SENT):
             backend.strikes = min(STRIKES_MOST, backend.strikes + 1.0)
+            if outcome in LONE and backend.strikes <= LONE_MOST:
+                return  # some answers are spoilt at any backend: one alone must not take it out
             backend.rests_until = now + PERIOD_MS * 2.0**backend.strikes * self.random.uniform(0.5, 1.0)
 
     def _within_share(self, now: float, arrival: api.Arrival) -> bool:
--- a/tests/test_extensions.py
+++ b/tests/test_extensions.py
@@ -75,6 +75,19 @@
     assert len(firsts(host)) == 200
 
 
+def test_a_lone_error_takes_no_backend_out_but_errors_together_do() -> None:
+    for errors, rests in ((1, False), (2, True)):
+        host = host_of(3)
+        failed = 0
+        while failed < errors:
+            ident = host.arrive()
+            bad = host.owed[ident].attempts[0].backend == 101
+            host.end(ident, 0, Outcome.ERROR if bad else Outcome.SERVED, 60.0)
+            failed += bad
+        picks = [host.owed[host.arrive()].attempts[0].backend for _ in range(9)]
+        assert (101 not in picks) is rests
+
+
 def test_clients_that_wait_too_little_tell_nothing_of_a_backend() -> None:
     host = host_of(1)
     for _ in range(20):
