--- a/dykemux/clients.py
+++ b/dykemux/clients.py
@@ -44,7 +44,9 @@
 EARLY_MOST = 8  # requests that a client may send ahead of its answers
 SWEEP_S = 0.2
 REQUEST_S = 2.6  # from the connection, or a later request's first byte, to its last; slow ones take up to 2 s
-IDLE_S = 15.0  # between requests; where descriptors run short the longest idle are closed earlier
+IDLE_S, IDLE_LEAST_S = 15.0, 0.25  # between requests: while few are open, and once many are
+SILENT_LEAST_S = 0.8  # for the first byte once many are open; before that REQUEST_S
+FEW = 0.25  # of the connections that clients may hold, up to which few are open
 WRITE_S = 5.0  # a client that takes no byte of its answer for so long has gone
 LINGER_S, LINGER_MOST = 1.0, 256 << 10  # what comes after a last answer is read, lest a reset overtake it
 QUIET_S, ACCEPT_S, ACCEPT_MOST_S = 0.25, 0.6, 1.5  # after SIGTERM new connections come for up to 0.4 s
@@ -120,6 +122,14 @@
         now = time.monotonic()
         for client in [client for client in self.open if client.due <= now]:
             client.overdue()
+        # guards new clients: those that ask once and stay for good must not hold what others need, here or
+        # where clients count their own; it might hurt one that asks now and then, by a connection each time
+        spare = FEW * self.most
+        waits = [(client, REQUEST_S - SILENT_LEAST_S) for client in self.silent]
+        for client, rest in [*waits, *((client, IDLE_S - IDLE_LEAST_S) for client in self.idle)]:
+            if len(self.open) > spare and client.due - rest <= now:
+                client.close()
+                spare += 1
         self.proxy.pool.sweep(now)
 
     async def drain(self) -> None:
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -140,3 +140,26 @@
                     ending.close()
 
     run(talk())
+
+
+def test_many_that_ask_once_and_stay_are_closed_and_a_few_are_not(tmp_path: Path) -> None:
+    async def talk() -> None:
+        async with Backend() as backend:
+            known = [entry("b1", backend.address)]
+            config = configuration(":0", *known)
+            async with Discovery(*known) as discovery:
+                config["discovery"] = discovery.address
+                async with node(tmp_path, config) as proxy:
+                    stay = []
+                    for number in range(60):
+                        reader, writer = await proxy.connect()
+                        writer.write(request(f"a{number}"))
+                        assert (await answer_of(reader))[0] == "200"
+                        stay.append((reader, writer))
+                    async with asyncio.timeout(6.0):
+                        assert await stay[0][0].read() == b""  # the longest idle goes in a few seconds
+                    reader, writer = stay[-1]
+                    writer.write(request("z1"))
+                    assert await answer_of(reader) == ("200", b"z1")  # few are left then, and they may stay
+
+    run(talk())
