Test the books after odd failures, and say what remains

New tests, each failing on the code as inherited or after it: a connect that fails in an odd way, a timer that the module fails on, start and drain in 32 MB.

--- /dev/null
+++ b/tests/test_books.py
@@ -0,0 +1,87 @@
+"""The proxy's own books after what should not happen, and its start and end within small limits."""
+
+import asyncio
+import json
+import signal
+from pathlib import Path
+from typing import Any
+
+from dykemux.config import Config, load
+from dykemux.proxy import Ask, Proxy
+from flintplank import interface as api
+from tests.loopback import Backend, Discovery, answer_of, configuration, entry, node, request, run
+
+
+def config_of(path: Path, *known: dict[str, Any]) -> Config:
+    file = path / "config.json"
+    file.write_text(json.dumps(configuration("127.0.0.1:1", *known)))
+    return load({"LB_NAME": "n0", "LB_LISTEN": "127.0.0.1:0", "LB_CONFIG": str(file)})
+
+
+class Asking:
+    """A client that only waits for its answer."""
+
+    def __init__(self) -> None:
+        self.status: asyncio.Future[int] = asyncio.get_running_loop().create_future()
+
+    def answer(self, status: int, lines: bytes, body: bytes = b"") -> None:
+        self.status.set_result(status)
+
+
+def test_a_connect_that_fails_in_an_odd_way_ends_its_attempt_and_leaves_no_count(tmp_path: Path) -> None:
+    async def talk() -> None:
+        loop = asyncio.get_running_loop()
+        proxy = Proxy(loop, config_of(tmp_path, entry("b1", "127.0.0.1:9"), entry("b2", "127.0.0.1:9")))
+
+        async def odd(*args: object, **more: object) -> None:
+            raise ValueError("no such family")
+
+        loop.create_connection = odd  # type: ignore
+        client = Asking()
+        proxy.arrive(client, Ask(b"GET /read/1 HTTP/1.1\r\n", klass="read"), b"")  # type: ignore[arg-type]
+        assert await client.status == 503  # it never ran, so it is refused, and at once
+        await asyncio.sleep(0)
+        assert not proxy.pool.connects and not proxy.pool.links
+        assert not proxy.requests and not proxy.budget.used
+
+    run(talk())
+
+
+def test_a_timer_that_the_module_fails_on_comes_again(tmp_path: Path) -> None:
+    async def talk() -> None:
+        proxy = Proxy(asyncio.get_running_loop(), config_of(tmp_path, entry("b1", "127.0.0.1:9")))
+        handle, again = proxy.balancer.handle, asyncio.Event()
+        failed: list[api.Event] = []
+
+        def failing(now: float, event: api.Event) -> list[api.Action]:
+            if isinstance(event, api.TimerFired) and event.token == 0:
+                if not failed:
+                    failed.append(event)
+                    raise RuntimeError("once")
+                again.set()
+            return handle(now, event)
+
+        proxy.balancer.handle = failing  # type: ignore[method-assign, assignment]
+        await again.wait()
+        proxy.discovery.close()
+
+    run(talk())
+
+
+def test_it_starts_and_drains_in_32_mb(tmp_path: Path) -> None:
+    async def talk() -> None:
+        async with Backend(lambda head, body: None) as backend:
+            known = [entry("b1", backend.address)]
+            async with Discovery(*known) as discovery:
+                config = configuration(discovery.address, *known, memory_mb=32)
+                async with node(tmp_path, config) as proxy:
+                    reader, writer = await proxy.connect()
+                    writer.write(request("a1"))
+                    await backend.asked.wait()
+                    proxy.signal(signal.SIGTERM)
+                    backend.writers[0].write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")
+                    assert await answer_of(reader) == ("200", b"done")
+                    assert await reader.read() == b""  # and the connection with it
+                    assert await proxy.process.wait() == 0
+
+    run(talk())
