Find our part of the tenants' quotas, and count no retry against them

`_within_share` took an even part of each quota (62 % of the traffic comes to one proxy, all of it while the other restarts) and debited client retries too, so that each refusal made the next one likelier; `_bears` then held what was "beyond the share" to a fifth of a press that rejections had raised.

Retries are no longer debited. A proxy's part is 1.3 even ones, or 1.3 times what its most modest tenant asks here.

--- a/flintplank/choice.py
+++ b/flintplank/choice.py
@@ -29,6 +29,7 @@
 BEAR = 0.8  # share of a request's spare time that the booked wait may take (ours)
 BEAR_OVER_SHARE = 0.2  # the same beyond a tenant's share (ours)
 SHARE_BURST_MS = 2000.0  # of a tenant's quota saved up at most (ours)
+SHARE_SLACK = 1.3  # our part of the quotas over what it is found to be: sites are not loaded evenly (ours)
 KEY_HOMES, KEY_SLACK = 2, 3.0  # backends that share a key; mean costs one may be booked over the rest (ours)
 HOMES_MOST = 4096  # keys whose homes are remembered (ours)
 MIX = (0x9E3779B97F4A7C15, 0xBF58476D1CE4E5B9)  # odd multipliers of the rendezvous hash (common ones)
@@ -144,6 +145,8 @@
         self._settle(settings)
         self.random = random.Random(seed)
         self.shares: dict[str, tuple[float, float]] = {}  # by tenant: requests saved up, and when
+        self.asked: dict[str, Rate] = {}  # by tenant with a quota: first tries
+        self.part = SHARE_SLACK / settings.proxies  # of the quotas that is ours
         self.pace = float(settings.proxies)  # what one send stands for on a board
         self.sends, self.service = Rate(), Rate()  # Nr, and the booked cost before pace and ramp
         self.ended, self.served = Rate(), Rate()  # attempts that may have run, and the cost of those served
@@ -169,7 +172,7 @@
         self.classes = {klass.name: klass for klass in settings.classes}
         self.aims = [klass.aim_ms for klass in settings.classes]
         self.most_worth = max(klass.worth for klass in settings.classes)
-        self.quotas = {tenant.name: tenant.quota_per_s / settings.proxies for tenant in settings.tenants}
+        self.quotas = {tenant.name: tenant.quota_per_s for tenant in settings.tenants if tenant.quota_per_s}
 
     def handle(self, now_ms: float, event: api.Event) -> list[api.Action]:
         self.actions = []
@@ -198,6 +201,9 @@
         periods, self.updated_at = max(1.0, (now - self.updated_at) / PERIOD_MS), now
         for rate in (self.sends, self.service, self.ended, self.served):
             rate.roll(periods)
+        for asked in self.asked.values():
+            asked.roll(periods)
+        self._find_part()
         self.mean_service = self.service.mean / self.sends.mean if self.sends.mean else 0.0
         size = max(1, len(self.backends))
         # attempts out over their rate of ending are the mean stay (Little's law); above its floor it is wait
@@ -329,14 +335,32 @@
                 return  # some answers are spoilt at any backend: one alone must not take it out
             backend.rests_until = now + PERIOD_MS * 2.0**backend.strikes * self.random.uniform(0.5, 1.0)
 
+    def _find_part(self) -> None:
+        """How much of the quotas is ours: an even part, or more if all tenants ask more here.
+
+        A proxy sees its own arrivals alone.  It gets more than an even part when its site is busier or its
+        peers restart, and then all tenants rise together, while one beyond its share rises alone.  It is too
+        kind where all tenants go beyond their shares at once: then nobody has to yield to another.
+        """
+        per_s = PERIOD_MS / 1000.0
+        asked = {name: rate.mean / per_s for name, rate in self.asked.items()}
+        least = min((asked.get(name, 0.0) / quota for name, quota in self.quotas.items()), default=0.0)
+        self.part = SHARE_SLACK * max(1.0 / self.settings.proxies, least)
+
     def _within_share(self, now: float, arrival: api.Arrival) -> bool:
-        """Count a request against this proxy's part of its tenant's quota."""
-        quota = self.quotas.get(arrival.tenant, 0.0)
+        """Count a request against our part of its tenant's quota; a retry was counted as a first try."""
+        if arrival.tenant not in self.quotas:
+            return True
+        quota = self.quotas[arrival.tenant] * self.part
         most = max(1.0, quota * SHARE_BURST_MS / 1000.0)
         saved, since = self.shares.get(arrival.tenant, (most, now))
         saved = min(most, saved + quota * (now - since) / 1000.0)
-        self.shares[arrival.tenant] = (saved - (saved >= 1.0), now)
-        return saved >= 1.0 or not quota
+        if arrival.is_retry:
+            self.shares[arrival.tenant] = (saved, now)
+        else:
+            self.asked.setdefault(arrival.tenant, Rate()).now += 1.0
+            self.shares[arrival.tenant] = (saved - (saved >= 1.0), now)
+        return saved >= 1.0
 
     def _bears(self, now: float, request: Request) -> bool:
         """Overload: what could not be in time behind what is out is refused early, least worth first."""
--- a/tests/host.py
+++ b/tests/host.py
@@ -147,10 +147,11 @@
         left: float = 2000.0,
         tenant: str = "",
         key: int | None = None,
+        retry: bool = False,
     ) -> int:
         ident = self.next_id
         self.next_id += 1
-        arrival = Arrival(ident, klass or self.settings.classes[0].name, left, tenant, key, hint)
+        arrival = Arrival(ident, klass or self.settings.classes[0].name, left, tenant, key, hint, retry)
         self.owed[ident] = self.unanswered[ident] = Owed(arrival, self.now + left)
         self._do(arrival)
         return ident
--- a/tests/test_extensions.py
+++ b/tests/test_extensions.py
@@ -134,6 +134,33 @@
     assert by["small"] > 3 * by["large"]
 
 
+def test_a_retry_does_not_count_against_a_share_again() -> None:
+    tenants = (Tenant("one", 0.5, 20.0), Tenant("two", 0.5, 20.0))
+    for retry in (False, True):
+        host = Host(Settings((READ,), tenants=tenants, proxies=2))
+        host.listed(ListKind.CACHED, *fleet(4))
+        drive(host, 3000.0, 100.0, tenant="one")
+        drive(host, 3000.0, 100.0, took=350.0, tenant="one")
+        for _ in range(200):
+            host.arrive(tenant="one", retry=retry)
+        ident = host.arrive(tenant="one")
+        assert any(isinstance(a, Refuse) and a.request == ident for a in host.log) is not retry
+
+
+def test_a_proxy_that_gets_all_takes_no_tenant_for_greedy_but_one_that_asks_far_more() -> None:
+    tenants = (Tenant("one", 0.5, 20.0), Tenant("two", 0.5, 20.0))
+    for more in (0, 3):
+        host = Host(Settings((READ,), tenants=tenants, proxies=4))
+        host.listed(ListKind.CACHED, *fleet(4))
+        for took in (60.0, 350.0):
+            for _ in range(60):
+                for tenant in ("one", "two", *["two"] * more):
+                    drive(host, 50.0, 50.0, took=took, tenant=tenant)
+        by = Counter(host.owed[a.request].arrival.tenant for a in host.log if isinstance(a, Refuse))
+        assert not by["one"]
+        assert (by["two"] > 0) is bool(more)
+
+
 def test_own_zone_first_where_crossing_has_a_price() -> None:
     host = host_of(8, zone="z0", zones=("z0", "z1"), price_cross_zone=0.05)
     drive(host, 2000.0, 20.0)
