Advise the refused to stay away as long as the shortage has lasted

Seen: the fixed 500 ms of `Retry-After` brought the refused back into the same dip past their aim: 292 of 841 arrivals a second were retries, all of them late if served, and fresh requests that could be in time were refused instead. Now the advice starts at a quarter of the aim (a retry may still be in time) and grows with the time for which more than a tenth of a period's arrivals has been refused, spread by half either way.

Ruled out: connection tables (at most 20 links a proxy on a backend outside the first second of a new one), cold backends (they start at 85 % here), rests (1 to 5 errors a second).

--- a/flintplank/choice.py
+++ b/flintplank/choice.py
@@ -37,7 +37,8 @@
 NEAR_TRIES = 2  # attempts in our own zone before others take turns alike (ours)
 COLD_SHARE = 1.5  # a cold backend's work, against its ramped share of what we see served (rule 4 allows more)
 RATE_MS = 3000.0  # smoothing of our own work rate, for slow start (ours)
-REFUSE_FOR_MS = 500.0  # advice to refused clients (ours)
+SHORT_SHARE = 0.1  # of a period's arrivals that are refused where the fleet is short (ours)
+ADVICE_LEAST = 0.25  # of the aim: the least advice to refused clients, so that a retry may be in time (ours)
 UPDATE, WATCH = 0, 1  # timer tokens
 
 
@@ -163,6 +164,8 @@
         self.requests: dict[int, Request] = {}
         self.sent: dict[tuple[int, int], Attempt] = {}  # attempts out, also of requests that are over
         self.retries = RETRY_BURST
+        self.arrived = self.refused = 0  # since the last update
+        self.short_since = -1.0  # none: before 0
         self.started, self.updated_at = False, 0.0
         self.watch_failures, self.watch_due = 0, False
         self.actions: list[api.Action] = []
@@ -198,6 +201,11 @@
 
     def _update(self, now: float) -> None:
         self.actions.append(api.SetTimer(UPDATE, PERIOD_MS))
+        if self.refused <= SHORT_SHARE * self.arrived:
+            self.short_since = -1.0
+        elif self.short_since < 0.0:
+            self.short_since = self.updated_at
+        self.arrived = self.refused = 0
         periods, self.updated_at = max(1.0, (now - self.updated_at) / PERIOD_MS), now
         for rate in (self.sends, self.service, self.ended, self.served):
             rate.roll(periods)
@@ -299,6 +307,7 @@
         deadline, in_share = now + arrival.time_left_ms, self._within_share(now, arrival)
         request = self.requests[arrival.request] = Request(arrival, klass, now, deadline, in_share)
         self.retries = min(RETRY_BURST, self.retries + RETRY_SHARE)
+        self.arrived += 1
         self._go_on(now, request)
 
     def _attempt_ended(self, now: float, ended: api.AttemptEnded) -> None:
@@ -386,10 +395,21 @@
         del self.requests[ident]
         everywhere = klass.effect is api.Effect.KEYED and klass.scope is api.DedupScope.ALL
         if ran is None or klass.effect is api.Effect.IDEMPOTENT or everywhere:
-            self.actions.append(api.Refuse(ident, min(REFUSE_FOR_MS, self.settings.max_retry_after_ms)))
+            self.refused += 1
+            self.actions.append(api.Refuse(ident, self._advice(now, klass)))
         else:
             self.actions.append(api.Fail(ident))
 
+    def _advice(self, now: float, klass: api.RequestClass) -> float:
+        """When a refused client should come back: a shortage is taken to last as long again as it has lasted.
+
+        Sooner, and retries that are late in any case take the room of requests that could be in time.
+        Spread out, or the refused would come as one wave.  It hurts where a long shortage has just ended.
+        """
+        short = now - self.short_since if self.short_since >= 0.0 else 0.0
+        spread = self.random.uniform(0.5, 1.5)
+        return min(max(short, ADVICE_LEAST * klass.aim_ms) * spread, self.settings.max_retry_after_ms)
+
     def _choose(self, now: float, request: Request, ran: Attempt | None) -> Backend | None:
         if now >= request.deadline or len(request.attempts) >= self.settings.max_attempts:
             return None
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -4,7 +4,18 @@
 from copy import deepcopy
 from pathlib import Path
 
-from tests.loopback import Backend, Discovery, answer_of, configuration, entry, node, ok, request, run
+from tests.loopback import (
+    Backend,
+    Discovery,
+    answer_of,
+    configuration,
+    entry,
+    head_of,
+    node,
+    ok,
+    request,
+    run,
+)
 
 FULL = b"HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
 
@@ -61,3 +72,44 @@
                         writer.close()
 
     run(talk())
+
+
+def test_the_refused_are_told_to_stay_away_as_long_as_the_shortage_has_lasted(tmp_path: Path) -> None:
+    """Soon at first, so that a retry may be in time; later and spread out when it would be late anyway."""
+
+    async def talk() -> None:
+        short = True
+        async with Backend(lambda head, body: FULL if short else ok(b"ride")) as one:
+            known = [entry("b1", one.address)]
+            async with Discovery(*known) as discovery:
+                config = configuration(discovery.address, *known)
+                config["settings"] = settings = deepcopy(config["settings"])
+                settings["Categories"][0]["OnTimeMs"] = 200.0
+                settings["Limits"] |= {"RetryAfter": True, "MaxRetryAfterMs": 5000.0}
+                async with node(tmp_path, config) as proxy:
+                    reader, writer = await proxy.connect()
+                    asked = 0
+
+                    async def advice() -> float | None:
+                        nonlocal asked
+                        asked += 1
+                        writer.write(request(f"q{asked}"))
+                        head = await head_of(reader)
+                        await reader.readexactly(int(head["content-length"]))
+                        return float(head["retry-after"]) if head[""].split()[1] == "503" else None
+
+                    first = await advice()
+                    assert first is not None and 0.02 < first < 0.08
+                    while (now := await advice()) is None or now < 1.0:
+                        pass
+                    several = {await advice() for _ in range(20)}
+                    assert len(several) > 10
+                    short = False
+                    calm_from = asyncio.get_running_loop().time()
+                    while asyncio.get_running_loop().time() < calm_from + 1.0:
+                        assert await advice() is None
+                    short = True
+                    again = await advice()
+                    assert again is not None and again < 0.08
+
+    run(talk())
