What a backend turns away adds to its booked cost, and counts as a wait in crossing zones

A rejection held its booking to the next update and then taught nothing, and `_next_turn` crossed zones by `wait` alone, whose floor follows a lasting queue (75 to 85 ms at a proxy with 20 ms of work a request). Now each backend's share of attempts turned away is smoothed and adds twice itself to its booked cost, and `press`, which counts rejections, decides on crossing.

--- a/flintplank/choice.py
+++ b/flintplank/choice.py
@@ -24,6 +24,8 @@
 LONE_MOST = 1.0  # strikes by these that a backend may have and still take turns (ours)
 RESTING_MOST = 0.5  # of the fleet rests at once, lest a fault common to all empties it (ours)
 SEEN_LEAST = 0.2  # of the smoothing time that must have passed before the rates tell a wait (ours)
+CROWD_STEP = 0.05  # smoothing of the share of a backend's attempts that it turns away, an attempt (ours)
+CROWD_COST = 2.0  # what that share adds to its booked cost: slow or shared ones are full first (ours)
 OUT_STEP = 0.4  # smoothing of the attempts out, a period (ours)
 FLOOR_STEP = 0.005  # how fast the least stay found creeps up towards the present one, a period (ours)
 BEAR = 0.8  # share of a request's spare time that the booked wait may take (ours)
@@ -89,6 +91,7 @@
     turn: float  # equal weights take turns by this
     credit: float  # slow start: ms of work it may be sent; 0 or less: none
     factor: float = 1.0  # learned: served time over booked cost
+    crowd: float = 0.0  # learned: share of its attempts that it turns away
     weight: float = 0.0  # W_k below the top weight
     load: float = 0.0  # L_k before it is compressed, with what was sent since
     held: float = 0.0  # of the attempts still out, in mean costs
@@ -275,8 +278,9 @@
     def _next_turn(self, now: float, request: Request) -> Backend | None:
         """The backend of most weight that may take a turn, own zone first if the wait is cheaper."""
         far, near = self.turns
+        # rejections count as a wait: short queues are full before anything stays for long
         worth_crossing = self.settings.price_cross_zone * request.klass.aim_ms * CROSS_FOR
-        spill = self.random.uniform(1.0, 2.0) * worth_crossing < self.wait
+        spill = self.random.uniform(1.0, 2.0) * worth_crossing < self.press
         if not self.near or spill or len(request.attempts) >= NEAR_TRIES:
             tops = [self._top(near, now, request.attempts), self._top(far, now, request.attempts)]
             return max((top for top in tops if top), key=lambda top: top.weight, default=None)
@@ -318,6 +322,7 @@
             attempt.to.weight += attempt.held
         if self.backends.get(ended.backend) is attempt.to:
             self._queue_turn(attempt.to)
+        attempt.to.crowd += ((ended.outcome is api.Outcome.REJECTED) - attempt.to.crowd) * CROWD_STEP
         request = self.requests.get(ended.request)
         if ended.finished:
             self.requests.pop(ended.request, None)
@@ -434,6 +439,7 @@
         """Start an attempt and book it: its cost is on the board and off the weight at once."""
         cost = BASE_MS + request.arrival.hint_ms
         turn_cost = cost * backend.factor / self._ramp(backend, now)  # rule 4: a cold backend is a slow one
+        turn_cost *= 1.0 + CROWD_COST * backend.crowd  # and a full one has less room than its speed tells
         turns = turn_cost / (self.mean_service or turn_cost)
         attempt = Attempt(backend, now, cost, turns)
         self.sent[request.arrival.request, len(request.attempts)] = attempt
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -113,3 +113,74 @@
                     assert again is not None and again < 0.08
 
     run(talk())
+
+
+def test_a_backend_that_turns_away_more_is_asked_less(tmp_path: Path) -> None:
+    """It may be slow, shared or short of places; what room it has shows in its rejections alone."""
+
+    async def talk() -> None:
+        turn = 0
+
+        def every_other(head: dict[str, str], body: bytes) -> bytes:
+            nonlocal turn
+            turn += 1
+            return FULL if turn % 2 else ok(b"ride")
+
+        async with Backend() as one, Backend(every_other) as two:
+            known = [entry("b1", one.address), entry("b2", two.address)]
+            async with (
+                Discovery(*known) as discovery,
+                node(tmp_path, configuration(discovery.address, *known)) as proxy,
+            ):
+                reader, writer = await proxy.connect()
+                loop = asyncio.get_running_loop()
+                until, asked = loop.time() + 2.0, 0
+                while loop.time() < until:
+                    asked += 1
+                    writer.write(request(f"q{asked}"))
+                    assert (await answer_of(reader))[0] == "200"
+                assert 0 < len(two.seen) < 0.75 * len(one.seen)
+
+    run(talk())
+
+
+def test_a_zone_whose_backends_turn_away_sends_to_another(tmp_path: Path) -> None:
+    """Queues are short, so that an overload of one zone shows as rejections while nothing stays for long."""
+
+    async def talk() -> None:
+        met: set[str] = set()  # by the backends of the proxy's zone
+
+        def full(head: dict[str, str], body: bytes) -> bytes:
+            met.add(head["x-request-id"])
+            return FULL
+
+        def mostly_full(head: dict[str, str], body: bytes) -> bytes:
+            if head["x-request-id"] not in met:
+                first.append(head["x-request-id"])
+            return ok(b"ride") if head["x-request-id"].endswith("00") else FULL
+
+        first: list[str] = []
+        async with (
+            Backend(full) as one,
+            Backend(full) as two,
+            Backend(mostly_full) as three,
+            Backend(mostly_full) as four,
+        ):
+            known = [entry(f"b{n}", backend.address) for n, backend in enumerate((one, two, three, four))]
+            known[2]["zone"] = known[3]["zone"] = "b"
+            async with Discovery(*known) as discovery:
+                config = configuration(discovery.address, *known)
+                config["settings"] = settings = deepcopy(config["settings"])
+                settings |= {"FailureDomains": ["a", "b"], "Deductions": {"CrossZone": 0.013}}
+                settings["Limits"] |= {"MostTries": 3}
+                async with node(tmp_path, config) as proxy:
+                    reader, writer = await proxy.connect()
+                    loop = asyncio.get_running_loop()
+                    until, asked = loop.time() + 2.0, 0
+                    while loop.time() < until:
+                        asked += 1
+                        writer.write(request(f"q{asked}"))
+                        assert (await answer_of(reader))[0] in ("200", "503")
+                    assert len(first) > asked / 50 > 1
+
+    run(talk())
