--- a/flintplank/choice.py
+++ b/flintplank/choice.py
@@ -24,8 +24,6 @@
 LONE_MOST = 1.0  # strikes by these that a backend may have and still take turns (ours)
 RESTING_MOST = 0.5  # of the fleet rests at once, lest a fault common to all empties it (ours)
 SEEN_LEAST = 0.2  # of the smoothing time that must have passed before the rates tell a wait (ours)
-CROWD_STEP = 0.05  # smoothing of the share of a backend's attempts that it turns away, an attempt (ours)
-CROWD_COST = 2.0  # what that share adds to its booked cost: slow or shared ones are full first (ours)
 OUT_STEP = 0.4  # smoothing of the attempts out, a period (ours)
 FLOOR_STEP = 0.005  # how fast the least stay found creeps up towards the present one, a period (ours)
 BEAR = 0.8  # share of a request's spare time that the booked wait may take (ours)
@@ -91,7 +89,6 @@
     turn: float  # equal weights take turns by this
     credit: float  # slow start: ms of work it may be sent; 0 or less: none
     factor: float = 1.0  # learned: served time over booked cost
-    crowd: float = 0.0  # learned: share of its attempts that it turns away
     weight: float = 0.0  # W_k below the top weight
     load: float = 0.0  # L_k before it is compressed, with what was sent since
     held: float = 0.0  # of the attempts still out, in mean costs
@@ -322,7 +319,6 @@
             attempt.to.weight += attempt.held
         if self.backends.get(ended.backend) is attempt.to:
             self._queue_turn(attempt.to)
-        attempt.to.crowd += ((ended.outcome is api.Outcome.REJECTED) - attempt.to.crowd) * CROWD_STEP
         request = self.requests.get(ended.request)
         if ended.finished:
             self.requests.pop(ended.request, None)
@@ -439,7 +435,6 @@
         """Start an attempt and book it: its cost is on the board and off the weight at once."""
         cost = BASE_MS + request.arrival.hint_ms
         turn_cost = cost * backend.factor / self._ramp(backend, now)  # rule 4: a cold backend is a slow one
-        turn_cost *= 1.0 + CROWD_COST * backend.crowd  # and a full one has less room than its speed tells
         turns = turn_cost / (self.mean_service or turn_cost)
         attempt = Attempt(backend, now, cost, turns)
         self.sent[request.arrival.request, len(request.attempts)] = attempt
