--- a/flintplank/choice.py
+++ b/flintplank/choice.py
@@ -275,9 +275,8 @@
     def _next_turn(self, now: float, request: Request) -> Backend | None:
         """The backend of most weight that may take a turn, own zone first if the wait is cheaper."""
         far, near = self.turns
-        # rejections count as a wait: short queues are full before anything stays for long
         worth_crossing = self.settings.price_cross_zone * request.klass.aim_ms * CROSS_FOR
-        spill = self.random.uniform(1.0, 2.0) * worth_crossing < self.press
+        spill = self.random.uniform(1.0, 2.0) * worth_crossing < self.wait
         if not self.near or spill or len(request.attempts) >= NEAR_TRIES:
             tops = [self._top(near, now, request.attempts), self._top(far, now, request.attempts)]
             return max((top for top in tops if top), key=lambda top: top.weight, default=None)
