Files of routes: checked whole, proved safe with witnesses, looked up in constant time

Nobody outside the platform could say what a path may do, and a file that let a retry outlast the five-second window would have written a profile twice. heronreel/routes reads a TOML file (msgspec field by field, so that all errors come in one go with their lines), proves it against the four rules and shows each harm as a timeline that an independent judge confirms. heronreel check and explain run it; bin/heronreel and ./check make their environments. Import contracts keep the deciding modules free of I/O and the path of run free of the new packages.

--- /dev/null
+++ b/heronreel/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line.  Nothing of it is imported by the platform's `run`."""
--- /dev/null
+++ b/heronreel/cli/__main__.py
@@ -0,0 +1,22 @@
+"""`python -m heronreel.cli`, and what `bin/heronreel` runs."""
+
+from __future__ import annotations
+
+import click
+
+from heronreel import __version__
+from heronreel.cli.check import check_command
+from heronreel.cli.explain import explain_command
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(__version__, prog_name="heronreel")
+def main() -> None:
+    """A load-balancing reverse proxy that loses no request and repeats no effect."""
+
+
+main.add_command(check_command)
+main.add_command(explain_command)
+
+if __name__ == "__main__":
+    main(prog_name="heronreel")
--- /dev/null
+++ b/heronreel/routes/schema.py
@@ -0,0 +1,158 @@
+"""The shape of each table of the file: fields, types, bounds, and in words what would be right.
+
+Each field is converted by itself, so that all errors of a file come in one go; a description follows the
+words "expected" in a message.
+"""
+
+from __future__ import annotations
+
+import re
+from typing import Annotated, Any, Literal
+
+import msgspec
+from msgspec import UNSET, Meta, Struct, UnsetType
+
+NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
+HOUR_MS = 3_600_000.0
+
+
+def _meta(words: str, **bounds: Any) -> Meta:
+    return Meta(description=words, **bounds)
+
+
+Name = Annotated[
+    str,
+    _meta("a name of 1 to 64 letters, digits, dots, dashes and underscores", pattern=f"^{NAME.pattern}$"),
+]
+Text = Annotated[str, _meta("a text of at most 1,024 characters", max_length=1024)]
+Address = Annotated[str, _meta('an IP address and a port, such as "127.0.0.1:8080"', max_length=64)]
+Span = Annotated[float, _meta("milliseconds from 0 to 3,600,000", ge=0.0, le=HOUR_MS)]
+Positive = Annotated[float, _meta("milliseconds over 0 and up to 3,600,000", gt=0.0, le=HOUR_MS)]
+Rate = Annotated[float, _meta("a number a second from 0 to 10,000,000", ge=0.0, le=1e7)]
+Share = Annotated[float, _meta("a share from 0 to 1", ge=0.0, le=1.0)]
+Weight = Annotated[float, _meta("a number from 0 to 1,000,000", ge=0.0, le=1e6)]
+Many = Annotated[int, _meta("a whole number from 1 to 10,000", ge=1, le=10_000)]
+Count = Annotated[int, _meta("a whole number from 0 to 1,000,000", ge=0, le=1_000_000)]
+Flag = Annotated[bool, _meta("true or false")]
+Words = Annotated[list[str], _meta("a list of texts")]
+
+
+class Top(Struct):
+    version: Annotated[int, _meta("the number 1", ge=1, le=1)] = 1
+    proxy: Any = UNSET
+    listeners: Any = UNSET
+    pools: Any = UNSET
+    tenants: Any = UNSET
+    defaults: Any = UNSET
+    routes: Any = UNSET
+
+
+class ProxyTable(Struct):
+    name: Name = "heronreel"
+    zone: Annotated[str, _meta("the name of a zone", pattern=f"^({NAME.pattern})?$")] = ""
+    proxies: Many = 1
+    seed: Annotated[int, _meta("a whole number from 0 to 2^63", ge=0, le=2**63 - 1)] = 1
+    memory_mb: Annotated[int, _meta("a whole number of MB from 32 to 1,048,576", ge=32, le=1 << 20)] = 128
+    sockets: Annotated[int, _meta("a whole number from 64 to 1,048,576", ge=64, le=1 << 20)] = 1024
+    max_attempts: Annotated[int, _meta("a whole number from 1 to 16", ge=1, le=16)] = 4
+    second_copies: Flag = False
+    connect_timeout_ms: Positive = 250.0
+    client_wait_ms: Positive = 2500.0
+    clock_margin_ms: Span = 50.0
+    max_retry_after_ms: Span = 0.0
+    drain_grace_ms: Span = 500.0
+    backend_idle_ms: Positive = 15000.0
+    cold_from: Share = 1.0
+    cold_ms: Span = 0.0
+    overload_factor: Annotated[float, _meta("a number from 1 to 100", ge=1.0, le=100.0)] = 2.0
+    fall_ms: Positive = 1000.0
+
+
+class ListenerTable(Struct):
+    name: Name
+    address: Address
+
+
+class MemberTable(Struct):
+    name: Name
+    address: Address
+    zone: Text = ""
+    rack: Text = ""
+    kind: Text = ""
+    weight: Weight = 1.0
+    draining: Flag = False
+
+
+class PoolTable(Struct):
+    name: Name
+    discovery: Annotated[Literal["static", "platform"], _meta('"static" or "platform"')] = "static"
+    members: Any = UNSET
+
+
+class TenantTable(Struct):
+    name: Name
+    share: Share = 1.0
+    requests_per_s: Rate = 0.0
+
+
+class MatchTable(Struct):
+    host: Annotated[str, _meta('a host name, or "*." before one', max_length=253)] = ""
+    path: Text | UnsetType = UNSET
+    path_prefix: Text | UnsetType = UNSET
+    path_pattern: Text | UnsetType = UNSET
+    methods: Words = msgspec.field(default_factory=list)
+    headers: Annotated[dict[str, str], _meta("a table of header names and texts")] = msgspec.field(
+        default_factory=dict
+    )
+
+
+Outcomes = Annotated[
+    list[Literal["not-run", "error", "reset", "timeout"]],
+    _meta('a list of "not-run", "error", "reset" and "timeout"'),
+]
+Reaches = Annotated[Literal["group", "pool", "split"], _meta('"group", "pool" or "split"')]
+
+
+class PolicyFields(Struct):
+    """What [defaults] and each route may set.  Defaults of the program are in `model.Policy`."""
+
+    klass: Name | UnsetType = msgspec.field(name="class", default=UNSET)
+    effect: Annotated[Literal["safe", "keyed", "unsafe"], _meta('"safe", "keyed" or "unsafe"')] = "unsafe"
+    group: Annotated[Literal["rack", "zone", "all"], _meta('"rack", "zone" or "all"')] = "rack"
+    window_ms: Span = 0.0
+    aim_ms: Positive = 1000.0
+    deadline_ms: Positive = 5000.0
+    attempt_timeout_ms: Span = 0.0
+    attempts: Annotated[int, _meta("a whole number from 1 to 16", ge=1, le=16)] = 1
+    backoff_ms: Span = 0.0
+    backoff_most_ms: Span = 1000.0
+    retry_budget: Annotated[float, _meta("a share of the first tries, such as 0.2", ge=0.0, le=100.0)] = 0.2
+    retry_on: Outcomes = msgspec.field(default_factory=lambda: ["not-run"])
+    retry_to: Reaches = "group"
+    second_copy_after_ms: Span = 0.0
+    second_copy_percentile: Annotated[
+        float, _meta("a percentile from 50 to 99.9, or 0 for none", ge=0.0, le=99.9)
+    ] = 0.0
+    second_copy_to: Reaches = "group"
+    when_exhausted: Annotated[Literal["fail", "refuse"], _meta('"fail" or "refuse"')] = "fail"
+    requests_per_s: Rate = 0.0
+    concurrency: Count = 0
+    worth: Annotated[float, _meta("a number from 0 to 1,000,000", ge=0.0, le=1e6)] = 1.0
+    late_worth: Share = 0.0
+
+
+class RouteTable(PolicyFields, kw_only=True):
+    name: Name
+    priority: Annotated[int, _meta("a whole number from -1,000 to 1,000", ge=-1000, le=1000)] = 0
+    match: Any = UNSET
+    pool: Name | UnsetType = UNSET
+    split: Any = UNSET
+
+
+class SplitTable(Struct):
+    pool: Name
+    weight: Weight = 1.0
+
+
+def policy_fields() -> tuple[str, ...]:
+    return tuple(field.encode_name for field in msgspec.structs.fields(PolicyFields))
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,73 @@
+"""The command line: exit codes, text and JSON."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner, Result
+
+from heronreel.cli.__main__ import main
+
+ROOT = Path(__file__).parent.parent
+SAFE = str(ROOT / "examples/profili.toml")
+UNSAFE = str(ROOT / "tests/files/unsafe/retry-to-pool.toml")
+
+
+def heronreel(*words: str) -> Result:
+    return CliRunner().invoke(main, words)
+
+
+def test_check_tells_of_each_file_and_fails_if_one_is_unsafe(tmp_path: Path) -> None:
+    assert heronreel("check", SAFE).exit_code == 0
+    found = heronreel("check", SAFE, UNSAFE, str(tmp_path / "none.toml"))
+    assert found.exit_code == 1
+    assert f"{SAFE}: safe: 3 routes, 2 pools" in found.output
+    assert (
+        f"{UNSAFE}:42: routes.save.retry_to:" in found.output
+        and "shown by: 0 ms sent to rack r1" in found.output
+    )
+    assert "none.toml:0: file: can't be read" in found.output
+
+
+def test_check_as_json_has_the_witness() -> None:
+    found = heronreel("check", "--json", UNSAFE)
+    assert found.exit_code == 1
+    (told,) = json.loads(found.output)["files"]
+    (finding,) = told["findings"]
+    assert not told["safe"] and finding["rule"] == "retry-leaves-group" and finding["breaks"] == "twice"
+    assert [step["at_ms"] for step in finding["witness"]][:2] == [0.0, 0.0]
+
+
+def test_explain_says_where_each_value_came_from() -> None:
+    told = json.loads(heronreel("explain", "--json", SAFE, "post", "/salva-profilo/r1").output)
+    assert told["route"] == "salva-profilo" and told["pools"] == {"profiles": 95.0, "canary": 5.0}
+    assert told["policy"]["attempts"] == {"value": 2, "from": "route", "line": 68}
+    assert told["policy"]["deadline_ms"]["from"] == "defaults"
+    assert told["policy"]["concurrency"] == {"value": 0, "from": "built in", "line": 0}
+    text = heronreel("explain", SAFE, "GET", "http://any:80/profiles/7?x=1", "-H", "X-A: 1").output
+    assert "route read-profile" in text and "second_copy_percentile" in text
+
+
+def test_explain_without_a_route_or_with_bad_words() -> None:
+    found = heronreel("explain", SAFE, "GET", "/nowhere")
+    assert found.exit_code == 1 and "404" in found.output
+    assert heronreel("explain", SAFE, "GET", "/x", "-H", "nonsense").exit_code == 2
+    assert heronreel("explain", SAFE, "GET", "http://[/x").exit_code == 2
+    broken = heronreel("explain", str(ROOT / "tests/files/unsafe/no-match.toml"), "GET", "/x")
+    assert broken.exit_code == 1 and "match is missing" in broken.output
+
+
+@pytest.mark.parametrize(
+    ("header", "route"), [("a.org", "one"), ("A.org:8080", "one"), ("[::1]:80", "other")]
+)
+def test_a_host_header_stands_in_for_the_host(tmp_path: Path, header: str, route: str) -> None:
+    file = tmp_path / "f.toml"
+    file.write_text(
+        '[[pools]]\nname = "p"\ndiscovery = "platform"\n[defaults]\ndeadline_ms = 2500\n'
+        '[[routes]]\nname = "one"\nmatch = { host = "a.org", path_prefix = "/" }\npool = "p"\n'
+        '[[routes]]\nname = "other"\nmatch = { path_prefix = "/" }\npool = "p"\n'
+    )
+    told = json.loads(heronreel("explain", "--json", str(file), "GET", "/", "-H", f"Host: {header}").output)
+    assert told["route"] == route
--- /dev/null
+++ b/tests/test_proof.py
@@ -0,0 +1,175 @@
+"""The proof: unsafe files are refused for their reason at their line, bold ones are not; witnesses hold."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+import pytest
+
+from flintplank.interface import DedupScope, Effect
+from heronreel.routes.index import Example, takes
+from heronreel.routes.model import Limits
+from heronreel.routes.proof import Finding, Witness, check
+from heronreel.routes.timeline import Step, Terms, What, broken
+
+FILES = Path(__file__).parent / "files"
+UNSAFE = sorted((FILES / "unsafe").glob("*.toml"))
+SAFE = sorted((FILES / "safe").glob("*.toml"))
+ROOT = Path(__file__).parent.parent
+
+
+def marked(text: str) -> int:
+    """The line that ends with #!; 0 if none does."""
+    return next((n for n, line in enumerate(text.split("\n"), 1) if line.endswith("#!")), 0)
+
+
+def test_there_are_files_enough() -> None:
+    assert len(UNSAFE) >= 40 and len(SAFE) >= 15
+
+
+@pytest.mark.parametrize("path", UNSAFE, ids=lambda path: path.stem)
+def test_an_unsafe_file_is_refused_for_its_reason_at_its_line(path: Path) -> None:
+    text = path.read_text()
+    (rule,) = re.findall(r"^# refused: (\S+)$", text, re.MULTILINE)
+    report = check(text.encode())
+    assert [(f.problem.rule, f.problem.line) for f in report.findings] == [(rule, marked(text))]
+    assert report.findings[0].problem.wrong and report.findings[0].problem.right
+
+
+@pytest.mark.parametrize("path", SAFE, ids=lambda path: path.stem)
+def test_a_bold_but_safe_file_is_accepted(path: Path) -> None:
+    assert [str(finding) for finding in check(path.read_bytes()).findings] == []
+
+
+def test_the_example_is_safe() -> None:
+    for path in (ROOT / "examples").glob("*.toml"):
+        assert check(path.read_bytes()).safe
+
+
+def witnessed() -> list[tuple[str, Finding]]:
+    return [(path.stem, f) for path in UNSAFE for f in check(path.read_bytes()).findings if f.witness]
+
+
+@pytest.mark.parametrize(
+    ("name", "finding"), witnessed(), ids=lambda value: value if isinstance(value, str) else ""
+)
+def test_a_witness_breaks_the_rule_it_names(name: str, finding: Finding) -> None:
+    if isinstance(finding.witness, Witness):
+        assert set(broken(finding.witness.steps, finding.witness.terms)) == {finding.witness.rule}
+        times = [step.at_ms for step in finding.witness.steps]
+        assert times == sorted(times) and str(finding.witness)
+
+
+@pytest.mark.parametrize(
+    ("name", "finding"), witnessed(), ids=lambda value: value if isinstance(value, str) else ""
+)
+def test_an_example_request_shows_the_clash(name: str, finding: Finding) -> None:
+    example = finding.witness
+    if not isinstance(example, Example):
+        return
+    file = check((FILES / "unsafe" / f"{name}.toml").read_bytes()).file
+    assert file
+    headers = {key.encode(): value.encode() for key, value in example.headers}
+    taking = [
+        route
+        for route in file.routes
+        if takes(route, example.host.encode(), example.path.encode(), example.method.encode(), headers)
+    ]
+    assert len(taking) > 1  # both want it: either nobody says who comes first, or the other one always does
+
+
+def test_every_kind_of_harm_has_a_witness() -> None:
+    rules = {f.witness.rule for _, f in witnessed() if isinstance(f.witness, Witness)}
+    assert rules == {"lost", "twice", "platform", "promise", "budget"}
+
+
+PLATFORM = {"save": (Effect.KEYED, DedupScope.CELL, 5000.0, 2500.0)}
+ROUTE = """
+[[pools]]
+name = "p"
+discovery = "platform"
+[[routes]]
+name = "save"
+match = { path = "/save", methods = ["POST"] }
+pool = "p"
+aim_ms = 100
+"""
+
+
+@pytest.mark.parametrize(
+    ("body", "rule", "breaks"),
+    [
+        ('effect = "safe"\ndeadline_ms = 2500', "weaker-than-platform", "twice"),
+        ('effect = "keyed"\nwindow_ms = 5001\ndeadline_ms = 2500', "weaker-than-platform", "twice"),
+        (
+            'effect = "keyed"\ngroup = "zone"\nwindow_ms = 5000\ndeadline_ms = 2500',
+            "weaker-than-platform",
+            "twice",
+        ),
+        ('effect = "unsafe"\ndeadline_ms = 2501', "weaker-than-platform", "lost"),
+        ('effect = "unsafe"\ndeadline_ms = 2500\nclass = "other"', "unknown-class", ""),
+        ('effect = "unsafe"\ndeadline_ms = 2500', "", ""),
+        ('effect = "keyed"\nwindow_ms = 5000\ndeadline_ms = 2500', "", ""),
+    ],
+)
+def test_a_file_may_ask_the_platform_for_more_care_and_not_for_less(
+    body: str, rule: str, breaks: str
+) -> None:
+    limits = Limits(client_wait_ms=9000.0, classes=PLATFORM)
+    findings = [
+        f for f in check((ROUTE + body).encode(), limits).findings if f.problem.rule != "write-called-safe"
+    ]
+    assert [finding.problem.rule for finding in findings] == ([rule] if rule else [])
+    for finding in findings:
+        if isinstance(finding.witness, Witness):
+            assert breaks in broken(finding.witness.steps, finding.witness.terms)
+
+
+def test_the_judge_finds_no_fault_with_a_good_timeline() -> None:
+    terms = Terms(Effect.KEYED, 5000.0, 2500.0, 2, False)
+    good = [
+        Step(0.0, What.ARRIVES),
+        Step(0.0, What.SENT, group="r1"),
+        Step(900.0, What.ENDED),
+        Step(900.0, What.SENT, attempt=1, group="r1"),
+        Step(1000.0, What.SERVED),
+    ]
+    assert broken(good, terms) == {}
+    assert set(broken([*good, Step(1001.0, What.SERVED)], terms)) == {"lost"}
+    assert set(broken(good[:-1], terms)) == {"lost"}
+
+
+def test_all_errors_come_in_one_go_with_their_lines() -> None:
+    text = """\
+[proxy]
+zone = 3
+memory = 5
+[[pools]]
+name = "p"
+members = [{ name = "a", address = "nowhere" }, { name = "a", address = "127.0.0.1:1", rack = 4 }]
+[[routes]]
+name = "r r"
+match = { path = "/x", path_prefix = "/x" }
+pool = "q"
+attempts = 0
+[[routes]]
+name = "s"
+match = { methods = ["GET", "BREW"] , path = "/y" }
+pool = "p"
+deadline_ms = []
+"""
+    found = [(finding.problem.line, finding.problem.field) for finding in check(text.encode()).findings]
+    assert found == [
+        (2, "proxy.zone"),
+        (3, "proxy.memory"),
+        (6, "pools.p.members.a.address"),
+        (6, "pools.p.members.a.rack"),
+        (6, "pools.p.members.a"),
+        (8, "routes.r r.name"),
+        (9, "routes.r r.match"),
+        (10, "routes.r r.pool"),
+        (11, "routes.r r.attempts"),
+        (14, "routes.s.match.methods[1]"),
+        (16, "routes.s.deadline_ms"),
+    ]
--- /dev/null
+++ b/tests/test_routes_text.py
@@ -0,0 +1,160 @@
+"""Odd texts: each is read, or refused with a line, quickly and whole."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from heronreel.routes.load import BYTES_MOST, PROBLEMS_MOST, BadFile, load
+from heronreel.routes.source import lines_of
+
+EXAMPLE = (Path(__file__).parent.parent / "examples/profili.toml").read_bytes()
+
+
+def refused(data: bytes) -> tuple[int, str]:
+    with pytest.raises(BadFile) as caught:
+        load(data)
+    problem = caught.value.problems[0]
+    return problem.line, problem.wrong
+
+
+def test_a_byte_order_mark_and_line_ends_of_two_characters_change_nothing() -> None:
+    plain = load(EXAMPLE)
+    other = load(b"\xef\xbb\xbf" + EXAMPLE.replace(b"\n", b"\r\n"))
+    assert plain.lines == other.lines
+    assert [route.policy for route in plain.routes] == [route.policy for route in other.routes]
+
+
+def test_five_megabytes_are_refused_unread() -> None:
+    assert refused(b"# \n" * (5 << 20)) == (0, f"has {15 << 20:,} bytes")
+    assert refused(EXAMPLE + b"#" * (5 << 20))[0] == 0
+
+
+def test_a_nul_is_named_with_its_line() -> None:
+    assert refused(b"version = 1\n\nname = '\0'\n") == (3, "holds a NUL byte")
+
+
+def test_other_than_utf8_is_named_with_its_line() -> None:
+    assert refused(b"version = 1\n# \xff\n") == (2, "byte 14 is not UTF-8")
+
+
+@pytest.mark.parametrize("opening", ["[", "{a=", "[{a="])
+def test_deep_nesting_is_refused(opening: str) -> None:
+    depth = 5000 // len(opening)
+    assert "nested too deeply" in refused(f"x = {opening * depth}".encode())[1]
+
+
+def test_a_line_without_end_and_a_key_of_many_parts_are_refused() -> None:
+    assert refused(b"x = 1\ny = [" + b"1," * 20_000 + b"]")[0] == 2
+    assert refused(b".".join([b"a"] * 9000) + b" = 1")[0] == 1
+
+
+@pytest.mark.parametrize(
+    ("text", "line"),
+    [("a = 1\nb = \n", 2), ("a = 1\na = 2\n", 2), ("x = 'a", 1), ("[a]\n[a]\n", 2), ("= 1", 1)],
+)
+def test_what_is_no_toml_is_told_with_its_line(text: str, line: int) -> None:
+    assert refused(text.encode())[0] == line
+
+
+def test_a_number_of_too_many_digits_is_refused() -> None:
+    assert refused(b"x = " + b"9" * 5000)[1].startswith("is no TOML")
+
+
+def test_thousands_of_errors_are_bounded() -> None:
+    text = "".join(f"[[routes]]\nname = {n}\nwrong = 1\n" for n in range(2000))
+    with pytest.raises(BadFile) as caught:
+        load(text.encode())
+    assert len(caught.value.problems) == PROBLEMS_MOST + 1
+    assert "more problems" in caught.value.problems[0].wrong
+    assert len(text) < BYTES_MOST
+
+
+def test_lines_of_every_form_of_key() -> None:
+    text = '''\
+# a comment = 1
+top = """
+not = "here"
+"""
+"quoted key" = 'x = 1'
+a.b.c = 1
+[table."x.y"]
+k = [ # comment ] with "quotes"
+  1,
+  { in = 2, line = [3, 4] },
+]
+[[rows]]
+n = 1
+[rows.sub]
+m = 2
+[[rows]]
+n = \'\'\'
+]]
+\'\'\'
+last = 2026-12-01T10:00:00Z
+'''
+    lines = lines_of(text)
+    assert tomllib.loads(text)["rows"][1]["last"]
+    assert lines[("top",)] == 2
+    assert lines[("quoted key",)] == 5
+    assert lines[("a", "b", "c")] == 6
+    assert lines[("table", "x.y", "k")] == 8
+    assert lines[("table", "x.y", "k", 0)] == 9
+    assert lines[("table", "x.y", "k", 1, "line", 1)] == 10
+    assert lines[("rows", 0, "sub", "m")] == 15
+    assert lines[("rows", 1)] == 16
+    assert lines[("rows", 1, "last")] == 20
+
+
+def paths(value: object, at: tuple[str | int, ...] = ()) -> set[tuple[str | int, ...]]:
+    found = {at} if at else set()
+    rows = value.items() if isinstance(value, dict) else enumerate(value) if isinstance(value, list) else ()
+    for key, part in rows:
+        found |= paths(part, (*at, key))
+    return found
+
+
+def written(value: object) -> str:
+    """A value in TOML, inline."""
+    if isinstance(value, dict):
+        return "{" + ", ".join(f"{written(k)} = {written(v)}" for k, v in value.items()) + "}"
+    if isinstance(value, list):
+        return "[" + ",\n".join(map(written, value)) + "]"
+    if isinstance(value, str):
+        return '"' + "".join(c if c.isalnum() and c.isascii() else f"\\U{ord(c):08x}" for c in value) + '"'
+    return str(value).lower()
+
+
+texts = st.text(st.characters(exclude_categories=["Cs"]), max_size=8)
+values = st.recursive(
+    st.booleans() | st.integers(-(2**63), 2**63 - 1) | texts,
+    lambda part: st.lists(part, max_size=4) | st.dictionaries(texts, part, max_size=4),
+    max_leaves=12,
+)
+
+
+@settings(max_examples=200, deadline=None, derandomize=True)
+@given(st.dictionaries(texts, values, max_size=5))
+def test_every_key_that_the_parser_finds_has_a_line(raw: dict[str, object]) -> None:
+    text = "\n\n".join(f"{written(key)} = {written(value)}" for key, value in raw.items())
+    assert tomllib.loads(text) == raw
+    lines = lines_of(text)
+    assert set(lines) == paths(raw)
+    rows = text.split("\n")
+    for key in raw:
+        assert rows[lines[(key,)] - 1].startswith(written(key))
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(st.binary(max_size=200) | st.integers(0, len(EXAMPLE)).flatmap(
+    lambda cut: st.binary(max_size=6).map(lambda noise: EXAMPLE[:cut] + noise + EXAMPLE[cut + len(noise):])
+))  # fmt: skip
+def test_no_text_makes_the_loader_fail_in_another_way(data: bytes) -> None:
+    try:
+        load(data)
+    except BadFile as error:
+        assert error.problems and all(problem.wrong for problem in error.problems)
