Refuse what RFC 9110 and 9112 say to refuse, and open the circle of imports in dykemux

Seen: HTTP/1.1 without Host, HTTP/2.0 and chunks in HTTP/1.0 were served. Reading on, the proxy also took no absolute target, kept connections of HTTP/1.0, sent interim answers to them, added neither Via nor Date, and answered a target too long with 431. Left alone on purpose: interim answers of backends are not passed on (9110, 15.2), since an attempt whose interim answer the client has seen may yet be tried again elsewhere.

backends knew proxy and proxy knew clients through types; each now names what it needs as a protocol, and a contract keeps the layers.

--- a/dykemux/backends.py
+++ b/dykemux/backends.py
@@ -12,17 +12,14 @@
 import select
 import time
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, cast
+from typing import Protocol, cast
 
 import httptools
 
 from dykemux.config import Config
-from dykemux.http1 import BODY_MOST, HEAD_MOST, Headers, Unreadable, end_to_end
+from dykemux.http1 import BODY_MOST, DATE, HEAD_MOST, Budget, Headers, Unreadable, end_to_end
 from flintplank.interface import Outcome
 
-if TYPE_CHECKING:
-    from dykemux.proxy import Proxy, Request
-
 IDLE_SHARE = 0.6  # of the time after which a backend closes an idle connection; ours must close first
 SETTLE_S = 0.005  # a connection rests so long after an answer, so that what comes right behind it is seen
 SILENCE_S = 0.3  # a backend silent for so long in the middle of an answer won't finish it
@@ -32,6 +29,23 @@
 log = logging.getLogger(__name__)
 
 
+class Asked(Protocol):
+    """What an attempt needs of its request."""
+
+    head: bytes
+    body: bytes | bytearray
+    out: int  # attempts that have not ended
+    over: bool
+
+
+class Owner(Protocol):
+    """Who hears how attempts end."""
+
+    budget: Budget
+
+    def attempt_ended(self, attempt: Attempt, outcome: Outcome, answer: Answer | None) -> None: ...
+
+
 @dataclass(slots=True, eq=False)
 class Node:
     """One backend as this proxy knows it.  It is dropped once it has left and nothing is out."""
@@ -48,7 +62,7 @@
 
 @dataclass(slots=True, eq=False)
 class Attempt:
-    request: Request
+    request: Asked
     number: int
     node: Node
     started: float
@@ -68,9 +82,9 @@
 class Pool:
     """All connections to backends.  A link is counted from `connection_made` until it is closed or lost."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, config: Config, proxy: Proxy) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, config: Config, owner: Owner) -> None:
         self.loop = loop
-        self.proxy = proxy
+        self.owner = owner
         self.settle(config)
         self.links: set[Link] = set()
         self.idle: dict[Link, None] = {}  # the longest idle first
@@ -182,7 +196,7 @@
             attempt.timer.cancel()
         attempt.node.out -= 1
         attempt.request.out -= 1
-        self.proxy.attempt_ended(attempt, outcome, answer)
+        self.owner.attempt_ended(attempt, outcome, answer)
 
     def give_up(self, attempt: Attempt, outcome: Outcome) -> None:
         """Stop waiting.  What was not wholly written can never run: the connection ends with it."""
@@ -206,7 +220,7 @@
     __slots__ = (
         "abandoned", "address", "attempt", "chunks", "close_ends", "got", "headers", "held", "idle_at",
         "keep", "node", "parser", "pool", "size", "status", "timer", "transport", "unsent", "whole",
-    )
+    )  # fmt: skip
 
     def __init__(self, pool: Pool, node: Node) -> None:
         self.pool = pool
@@ -335,7 +349,7 @@
             raise Unreadable
         if attempt is None or attempt.ended or self.status != 200:
             return  # read and forgotten
-        if not self.pool.proxy.budget.take(len(data)):
+        if not self.pool.owner.budget.take(len(data)):
             raise Unreadable  # guards memory: like a spoilt one it may have run
         self.held += len(data)
         self.chunks.append(data)
@@ -357,10 +371,13 @@
         if attempt is None or attempt.ended:
             return
         if status == 200:
-            self.pool.end(attempt, Outcome.SERVED, Answer(200, end_to_end(headers), b"".join(chunks)))
+            lines = end_to_end(headers)
+            if not any(name == b"date" for name, _ in headers):
+                lines += DATE.now()  # RFC 9110, 6.6.1: who passes on an answer without one adds it
+            self.pool.end(attempt, Outcome.SERVED, Answer(200, lines, b"".join(chunks)))
         elif 400 <= status < 500:
             # the backend can't use what the client sent, which tells nothing of the backend's health
-            self.pool.end(attempt, Outcome.CANCELLED, Answer(400, b"", b""))
+            self.pool.end(attempt, Outcome.CANCELLED, Answer(400, DATE.now(), b""))
         else:
             not_run = status in (503, 504) and (b"x-not-run", b"1") in headers
             self.pool.end(attempt, Outcome.REJECTED if not_run else Outcome.ERROR)
@@ -388,7 +405,7 @@
 
     def _clear(self) -> None:
         self.attempt, self.headers, self.chunks = None, [], []
-        self.pool.proxy.budget.give(self.held)
+        self.pool.owner.budget.give(self.held)
         self.held = 0
         if self.timer:
             self.timer.cancel()
--- a/dykemux/clients.py
+++ b/dykemux/clients.py
@@ -22,12 +22,16 @@
 from dykemux.http1 import (
     BODY_MOST,
     CONTINUE,
+    DATE,
     HEAD_MOST,
+    URL_MOST,
     Headers,
     Unreadable,
+    absolute_form,
     answer_head,
     end_to_end,
     figure,
+    is_host,
 )
 from dykemux.proxy import HINT_MOST_US, Ask, Proxy, Request
 from flintplank.interface import Effect
@@ -35,6 +39,8 @@
 BACKLOG = 2048
 METHODS = frozenset((b"GET", b"POST", b"PUT", b"PATCH", b"DELETE", b"OPTIONS"))
 READ_HERE = frozenset((b"x-deadline-ms",))  # goes to a backend with a figure of our own
+VERSIONS = ("1.1", "1.0")
+VIA = {version: b"via: %b heronreel\r\n" % version.encode() for version in VERSIONS}  # RFC 9110, 7.6.3
 ONCE = frozenset((  # heads that name two of these could be read in two ways
     b"content-length", b"transfer-encoding", b"x-request-id", b"x-class", b"x-tenant", b"x-deadline-ms",
     b"idempotency-key", b"host",
@@ -157,7 +163,7 @@
     __slots__ = (
         "ask", "begun", "body", "due", "early", "fields", "headers", "last", "length", "owner", "parser",
         "paused", "phase", "request", "seen", "transport", "url", "welcome", "wrong",
-    )
+    )  # fmt: skip
 
     def __init__(self, owner: Clients) -> None:
         self.owner = owner
@@ -221,6 +227,8 @@
 
     def on_url(self, url: bytes) -> None:
         self.url += url
+        if len(self.url) > URL_MOST:
+            self._refuse(414)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self.fields += len(name) + len(value) + 4
@@ -238,6 +246,9 @@
         if len(self.url) + self.fields > HEAD_MOST:
             self._refuse(431)
         self.seen = 0
+        version = self.parser.get_http_version()
+        if version not in VERSIONS:
+            self._refuse(505)  # RFC 9110, 15.6.6; HTTP/0.9 too, which the parser reads
         names = [name for name, _ in headers if name in ONCE]
         fields = dict(headers)
         # guards rule 2: a message with two lengths may hide another request in its body
@@ -245,6 +256,18 @@
             self._refuse(400)
         if fields.get(b"transfer-encoding", b"chunked").lower() != b"chunked":
             self._refuse(400)
+        if version == "1.0":
+            # RFC 9112, 6.1: its framing is faulty, so the next request can't be told from this one's body
+            if b"transfer-encoding" in fields:
+                self._refuse(400)
+            self.last = True  # RFC 9112, 9.3: no proxy keeps a connection of HTTP/1.0
+        elif b"host" not in fields:
+            self._refuse(400)  # RFC 9112, 3.2
+        if not is_host(fields.get(b"host", b"")):
+            self._refuse(400)
+        if absolute := absolute_form(self.url):
+            self._take_authority(*absolute)
+            fields[b"host"] = absolute[0]
         length = fields.get(b"content-length", b"0")
         if not length.isdigit():
             self._refuse(400)
@@ -252,15 +275,24 @@
             self._refuse(413)
         if not self.parser.should_keep_alive():
             self.last = True
-        self._read_head(self.parser.get_method(), fields)
+        self._read_head(self.parser.get_method(), fields, version)
         if 400 <= self.wrong < 500:
             self._refuse(self.wrong)  # the body need not come
-        if fields.get(b"expect", b"").lower() == b"100-continue" and not self.request:
+        expects = version == "1.1" and fields.get(b"expect", b"").lower() == b"100-continue"
+        if expects and not self.request:  # RFC 9110, 10.1.1: HTTP/1.0 has no interim answers
             if self.wrong or not self.welcome:
                 self._refuse(self.wrong or 503)
             self.transport.write(CONTINUE)
 
-    def _read_head(self, method: bytes, fields: dict[bytes, bytes]) -> None:
+    def _take_authority(self, authority: bytes, url: bytes) -> None:
+        """RFC 9112, 3.2.2: what the target names counts, whatever the Host field says."""
+        if not authority or not is_host(authority):
+            self._refuse(400)
+        self.url = url
+        self.headers = [(name, value) for name, value in self.headers if name != b"host"]
+        self.headers.append((b"host", authority))
+
+    def _read_head(self, method: bytes, fields: dict[bytes, bytes], version: str) -> None:
         """What no backend could use is turned away here: it costs backends nothing, nor their health."""
         proxy = self.owner.proxy
         path = self.url.partition(b"?")[0]
@@ -272,6 +304,13 @@
         if path == b"/_health":
             self.wrong = 200 if proxy.serves() and not self.owner.draining else 503
             return
+        if method == b"OPTIONS" and (hops := fields.get(b"max-forwards", b"")).isdigit():
+            if not int(hops[:9]):  # RFC 9110, 7.6.2: it is for us, the last it may reach
+                self.wrong = 200
+                return
+            self.headers = [
+                (n, b"%d" % (int(v[:9]) - 1) if n == b"max-forwards" else v) for n, v in self.headers
+            ]
         deadline = fields.get(b"x-deadline-ms")
         name, klass = fields.get(b"x-request-id"), proxy.classes.get(named.decode("latin-1"))
         if (
@@ -289,7 +328,7 @@
             return
         hint = figure(fields.get(b"x-cost-hint", b""), HINT_MOST_US)
         self.ask = Ask(
-            b"%b %b HTTP/1.1\r\n%b" % (method, self.url, end_to_end(self.headers, READ_HERE)),
+            b"%b %b HTTP/1.1\r\n%b%b" % (method, self.url, end_to_end(self.headers, READ_HERE), VIA[version]),
             name,
             klass.name,
             fields.get(b"x-tenant", b"").decode("latin-1"),
@@ -345,7 +384,7 @@
         if ask is None or wrong:
             proxy.budget.give(len(body))
             self.last = self.last or 400 <= wrong < 500  # who can't ask right need not ask again here
-            self.answer(wrong or 400, b"")
+            self.answer(wrong or 400, DATE.now())
             return
         # a body of the framing that backends get: always its length
         if body or ask.is_write:
@@ -393,7 +432,7 @@
         self.owner.idle.pop(self, None)
         self.phase, self.last, self.due = Phase.LAST, True, math.inf
         if self.request is None and not self.early:
-            self.transport.write(answer_head(status, b"", 0, True))
+            self.transport.write(answer_head(status, DATE.now(), 0, True))
             self._linger()
 
     def _linger(self) -> None:
--- a/dykemux/http1.py
+++ b/dykemux/http1.py
@@ -4,11 +4,13 @@
 
 import logging
 import math
+import re
 import sys
 import time
 
 HEAD_MOST = 16 << 10  # bytes of a head; of a trailer too
 BODY_MOST = 64 << 10  # bytes of a body, either way
+URL_MOST = 8 << 10  # bytes of a request's target: RFC 9112, 3, asks for 8,000 at least
 
 Headers = list[tuple[bytes, bytes]]  # names in lower case
 
@@ -20,13 +22,19 @@
 HOP_BY_HOP = frozenset((
     b"connection", b"keep-alive", b"proxy-authenticate", b"proxy-authorization", b"proxy-connection", b"te",
     b"trailer", b"transfer-encoding", b"upgrade", b"content-length", b"expect", b"http2-settings",
-))
+))  # fmt: skip
 NEEDED = frozenset((b"x-request-id", b"idempotency-key"))  # without them a repeat could not be told
 REASONS = {
-    200: b"OK", 400: b"Bad Request", 405: b"Method Not Allowed", 408: b"Request Timeout",
-    413: b"Content Too Large", 429: b"Too Many Requests", 431: b"Request Header Fields Too Large",
-    502: b"Bad Gateway", 503: b"Service Unavailable", 504: b"Gateway Timeout",
-}
+    200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
+    413: b"Content Too Large", 414: b"URI Too Long", 429: b"Too Many Requests",
+    431: b"Request Header Fields Too Large", 502: b"Bad Gateway", 503: b"Service Unavailable",
+    504: b"Gateway Timeout", 505: b"HTTP Version Not Supported",
+}  # fmt: skip
+HOST = re.compile(rb"(?:\[[0-9A-Fa-f:.]+\]|[A-Za-z0-9._~!$&'()*+,;=%-]*)(?::[0-9]{0,5})?")
+DAYS = (b"Mon", b"Tue", b"Wed", b"Thu", b"Fri", b"Sat", b"Sun")
+MONTHS = (
+    b"Jan", b"Feb", b"Mar", b"Apr", b"May", b"Jun", b"Jul", b"Aug", b"Sep", b"Oct", b"Nov", b"Dec"
+)  # fmt: skip
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -41,9 +49,44 @@
 
 def answer_head(status: int, lines: bytes, length: int, close: bool) -> bytes:
     """The head of an answer to a client."""
-    framing = b"Content-Length: %d" % length
-    ending = b"\r\nConnection: close\r\n\r\n" if close else b"\r\n\r\n"
-    return b"HTTP/1.1 %d %b\r\n%b%b%b" % (status, REASONS[status], lines, framing, ending)
+    # RFC 9110, 8.6: no length with 204; that of a 304 would be the length of what is not sent
+    framing = b"" if status in (204, 304) else b"Content-Length: %d\r\n" % length
+    ending = b"Connection: close\r\n\r\n" if close else b"\r\n"
+    return b"HTTP/1.1 %d %b\r\n%b%b%b" % (status, REASONS.get(status, b""), lines, framing, ending)
+
+
+def is_host(value: bytes) -> bool:
+    """Whether a Host field's value can be one (RFC 9110, 7.2: `uri-host [":" port]`, also empty)."""
+    return HOST.fullmatch(value) is not None
+
+
+def absolute_form(url: bytes) -> tuple[bytes, bytes] | None:
+    """The authority and the origin form of an absolute target; None if it is not one (RFC 9112, 3.2.2)."""
+    if url[:7].lower() != b"http://":
+        return None
+    rest = url[7:]
+    ends = [place for place in (rest.find(b"/"), rest.find(b"?")) if place >= 0]
+    end = min(ends, default=len(rest))
+    path = rest[end:]
+    return rest[:end], path if path.startswith(b"/") else b"/" + path
+
+
+class DateLine:
+    """The Date field of an answer, made once a second (RFC 9110, 6.6.1)."""
+
+    def __init__(self) -> None:
+        self.second, self.line = 0, b""
+
+    def now(self) -> bytes:
+        second = int(time.time())
+        if second != self.second:
+            self.second = second
+            at = time.gmtime(second)
+            day, month = DAYS[at.tm_wday], MONTHS[at.tm_mon - 1]  # in English whatever the locale
+            self.line = b"date: %b, %02d %b %d %02d:%02d:%02d GMT\r\n" % (
+                day, at.tm_mday, month, at.tm_year, at.tm_hour, at.tm_min, at.tm_sec
+            )  # fmt: skip
+        return self.line
 
 
 def figure(text: bytes, most: float) -> float | None:
@@ -55,6 +98,9 @@
     return min(max(value, 0.0), most) if math.isfinite(value) else None
 
 
+DATE = DateLine()
+
+
 class RateLimit(logging.Filter):
     """So many lines a second and no more: a storm of bad input must cost neither disk nor time."""
 
--- a/dykemux/proxy.py
+++ b/dykemux/proxy.py
@@ -12,24 +12,27 @@
 import time
 from collections import deque
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import Protocol, cast
 
 from dykemux.backends import Answer, Attempt, Node, Pool
 from dykemux.config import Config
 from dykemux.discovery import Discovery, Member, Members
-from dykemux.http1 import Budget
+from dykemux.http1 import DATE, Budget
 from flintplank import interface as api
 from flintplank.choice import Balancer
 
-if TYPE_CHECKING:
-    from dykemux.clients import Client
-
 RETRY_TIMER_S = 0.2  # a timer that the module failed on comes again
 HINT_MOST_US = 60e6  # a dearer hint would fill the boards with one request
 
 log = logging.getLogger(__name__)
 
 
+class Asker(Protocol):
+    """Whoever waits for the answer."""
+
+    def answer(self, status: int, lines: bytes, body: bytes = b"") -> None: ...
+
+
 @dataclass(slots=True)
 class Ask:
     """What a client's head says, checked."""
@@ -48,7 +51,7 @@
 @dataclass(slots=True, eq=False)
 class Request:
     ident: int
-    client: Client | None  # None once it has its answer or has left
+    client: Asker | None  # None once it has its answer or has left
     head: bytes
     body: bytes | bytearray
     deadline: float
@@ -152,7 +155,7 @@
 
     # The life of a request.
 
-    def arrive(self, client: Client, ask: Ask, body: bytes | bytearray) -> Request:
+    def arrive(self, client: Asker, ask: Ask, body: bytes | bytearray) -> Request:
         """A request whose last byte is in.  From here on one final answer is owed."""
         now = time.monotonic()
         left_ms = ask.time_left_ms
@@ -195,7 +198,7 @@
         self.pool.start(attempt)
 
     def attempt_ended(self, attempt: Attempt, outcome: api.Outcome, answer: Answer | None) -> None:
-        request, node = attempt.request, attempt.node
+        request, node = cast(Request, attempt.request), attempt.node
         request.last = outcome
         if answer and request.client:
             client = request.client
@@ -240,7 +243,7 @@
         self._over(request)
         if client:
             advice = b"retry-after: %.3f\r\n" % (retry_after_ms / 1000.0) if retry_after_ms else b""
-            client.answer(status, advice)
+            client.answer(status, advice + DATE.now())
         self._drop(ident)
 
     def _over(self, request: Request) -> None:
--- /dev/null
+++ b/tests/test_rfc9112.py
@@ -0,0 +1,140 @@
+"""What RFC 9110 and 9112 ask of a proxy: what it must refuse, and what it must do to what it passes on."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+import pytest
+
+from dykemux.http1 import absolute_form, is_host
+from tests.loopback import (
+    Backend,
+    Discovery,
+    answer_of,
+    configuration,
+    entry,
+    head_of,
+    node,
+    ok,
+    request,
+    run,
+)
+
+READ = b"GET /read/obj1 HTTP/1.1\r\nHost: api.internal\r\nX-Request-Id: r1\r\n"
+SAVE = b"POST /save/obj1 HTTP/1.1\r\nHost: api.internal\r\nX-Request-Id: r1\r\nIdempotency-Key: k\r\n"
+REFUSED = {
+    "no Host (9112, 3.2)": (READ.replace(b"Host: api.internal\r\n", b"") + b"\r\n", "400"),
+    "two Hosts (9112, 3.2)": (READ + b"Host: b\r\n\r\n", "400"),
+    "a Host that is none (9112, 3.2)": (READ.replace(b"api.internal", b"api/internal") + b"\r\n", "400"),
+    "HTTP/2.0 (9110, 15.6.6)": (READ.replace(b"HTTP/1.1", b"HTTP/2.0") + b"\r\n", "505"),
+    "HTTP/0.9": (READ.replace(b"HTTP/1.1", b"HTTP/0.9") + b"\r\n", "505"),
+    "chunks in HTTP/1.0 (9112, 6.1)": (
+        SAVE.replace(b"HTTP/1.1", b"HTTP/1.0") + b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "400",
+    ),
+    "a last coding other than chunked (9112, 6.1)": (
+        SAVE + b"Transfer-Encoding: chunked, gzip\r\n\r\n",
+        "400",
+    ),
+    "a list of lengths (9112, 6.3)": (SAVE + b"Content-Length: 4, 4\r\n\r\nride", "400"),
+    "a space before the colon (9112, 5.1)": (READ + b"X-A : b\r\n\r\n", "400"),
+    "a folded line (9112, 5.2)": (READ + b"X-A: b\r\n c\r\n\r\n", "400"),
+    "space before the first field (9112, 2.2)": (READ.replace(b"Host", b" Host") + b"\r\n", "400"),
+    "a bare CR (9112, 2.2)": (READ + b"X-A: b\rc\r\n\r\n", "400"),
+    "a NUL in a value (9110, 5.5)": (READ + b"X-A: b\0c\r\n\r\n", "400"),
+    "a target too long (9112, 3)": (READ.replace(b"/obj1", b"/" + b"o" * 9000) + b"\r\n", "414"),
+    "an absolute target without a host": (READ.replace(b"/read", b"http:///read") + b"\r\n", "400"),
+}
+
+
+@pytest.mark.parametrize(("sent", "status"), REFUSED.values(), ids=REFUSED.keys())
+def test_what_must_be_refused_is_refused_and_the_connection_ends(
+    tmp_path: Path, sent: bytes, status: str
+) -> None:
+    async def talk() -> None:
+        async with Backend() as backend:
+            known = [entry("b1", backend.address)]
+            async with (
+                Discovery(*known) as discovery,
+                node(tmp_path, configuration(discovery.address, *known)) as proxy,
+            ):
+                reader, writer = await proxy.connect()
+                writer.write(sent)
+                assert (await answer_of(reader))[0] == status
+                assert await reader.read() == b""
+                assert backend.seen == []
+
+    run(talk())
+
+
+def test_what_is_passed_on_is_as_a_proxy_must_make_it(tmp_path: Path) -> None:
+    heads: list[dict[str, str]] = []
+
+    def reply(head: dict[str, str], body: bytes) -> bytes:
+        heads.append(head)
+        return ok(b"ride")
+
+    async def talk() -> None:
+        async with Backend(reply) as backend:
+            known = [entry("b1", backend.address)]
+            async with (
+                Discovery(*known) as discovery,
+                node(tmp_path, configuration(discovery.address, *known)) as proxy,
+            ):
+                reader, writer = await proxy.connect()
+                # the authority of an absolute target counts (9112, 3.2.2), Via is added (9110, 7.6.3), fields
+                # that Connection names end here (9110, 7.6.1)
+                target = b"GET http://other.example:81/read/obj1?x=1 HTTP/1.1"
+                lines = READ.replace(b"GET /read/obj1 HTTP/1.1", target) + b"Via: 1.0 a\r\n"
+                writer.write(lines + b"Connection: keep-alive, X-Hop\r\nX-Hop: 1\r\n\r\n")
+                head = await head_of(reader)
+                assert head[""].split()[1] == "200"
+                assert re.fullmatch(
+                    r"[A-Z][a-z]{2}, \d\d [A-Z][a-z]{2} \d{4} \d\d:\d\d:\d\d GMT", head["date"]
+                )
+                assert await reader.readexactly(4) == b"ride"
+                assert heads[0][""] == "GET /read/obj1?x=1 HTTP/1.1"
+                assert heads[0]["host"] == "other.example:81"
+                assert (
+                    heads[0]["via"] == "1.1 heronreel" and "x-hop" not in heads[0]
+                )  # the last line wins here
+                # OPTIONS counts down and ends here at 0 (9110, 7.6.2)
+                for hops, wanted in ((b"1", 2), (b"0", 2)):
+                    options = READ.replace(b"GET", b"OPTIONS") + b"Max-Forwards: %b\r\n\r\n" % hops
+                    writer.write(options)
+                    assert (await answer_of(reader))[0] == "200"
+                    assert len(heads) == wanted
+                assert heads[1]["max-forwards"] == "0"
+
+    run(talk())
+
+
+def test_a_client_of_http_1_0_is_answered_and_let_go(tmp_path: Path) -> None:
+    """9112, 9.3: not kept, whatever it asks; 9110, 10.1.1: no interim answer; Host may be missing."""
+
+    async def talk() -> None:
+        async with Backend() as backend:
+            known = [entry("b1", backend.address)]
+            async with (
+                Discovery(*known) as discovery,
+                node(tmp_path, configuration(discovery.address, *known)) as proxy,
+            ):
+                reader, writer = await proxy.connect()
+                sent = request("a1", extra="Expect: 100-continue\r\nConnection: keep-alive\r\n")
+                writer.write(sent.replace(b"HTTP/1.1", b"HTTP/1.0").replace(b"Host: api.internal\r\n", b""))
+                assert await answer_of(reader) == ("200", b"a1")
+                assert await reader.read() == b""
+
+    run(talk())
+
+
+def test_host_values_and_targets() -> None:
+    for good in (b"", b"a", b"a.b:80", b"[::1]:8080", b"127.0.0.1", b"x_y", b"a%41"):
+        assert is_host(good), good
+    for bad in (b"a b", b"a/b", b"a@b", b"a:b", b"[::1", b"a:123456", b"a,\x7f"):
+        assert not is_host(bad), bad
+    assert absolute_form(b"HTTP://a:1/b?c") == (b"a:1", b"/b?c")
+    assert absolute_form(b"http://a?c") == (b"a", b"/?c")
+    assert absolute_form(b"http://a") == (b"a", b"/")
+    assert absolute_form(b"/a") is None
