Route policies in the decision module, serve on the file's own pools, and a demo

A checked file had no effect yet. A request now brings its route's policy to the module, which decides by it: time-out, retries by outcome, back-off (reserved before the pause, so that what is given up is answered at once), budget, second copies after a time or a percentile, rate and concurrency. One Balancer a pool, so that a jam in one refuses nothing of another's; a split goes by weight, by the repeat key where there is one. The network code checks a repeat's window again where its first byte is written. serve and demo run it; without a file, run loads none of it (a contract).

--- a/dykemux/__main__.py
+++ b/dykemux/__main__.py
@@ -53,7 +53,7 @@
         except Exception as error:  # a reload must never be what ends the service
             log.exception("reload: %s", error)
         else:
-            log.info("reload: done, discovery is %s:%d", *config.discovery)
+            log.info("reload: done, discovery is %s:%d", *(config.discovery or ("", 0)))
 
 
 def _log_exception(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
--- a/dykemux/backends.py
+++ b/dykemux/backends.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import logging
+import math
 import select
 import time
 from dataclasses import dataclass, field
@@ -67,6 +68,7 @@
     node: Node
     started: float
     ends_at: float
+    send_by: float = math.inf  # a first byte later than this might take effect a second time
     link: Link | None = None
     timer: asyncio.TimerHandle | None = None  # of a time-out before the request's deadline
     ended: bool = False
@@ -96,6 +98,7 @@
         self.grace = config.drain_grace_ms / 1000.0
         self.connect_s = config.settings.connect_timeout_ms / 1000.0
         self.idle_s = config.conn_idle_ms / 1000.0 * IDLE_SHARE
+        self.any_status = config.any_status
 
     def open(self) -> int:
         """Descriptors in use or about to be, so that EMFILE is never how we find out."""
@@ -160,6 +163,11 @@
         if not node.listed and now > node.told_off_at + self.grace:
             link.transport.abort()
             self.end(attempt, Outcome.NOT_SENT)
+        elif now >= attempt.send_by:
+            # guards rule 2: the group may have forgotten the first by now; the module's own check came before
+            # a connect, or before a stall of this process
+            self.rest(link)
+            self.end(attempt, Outcome.NOT_SENT)
         else:
             link.send(attempt, now)
 
@@ -347,7 +355,7 @@
         self.size += len(data)
         if self.size > BODY_MOST:
             raise Unreadable
-        if attempt is None or attempt.ended or self.status != 200:
+        if attempt is None or attempt.ended or not self._is_served(self.status):
             return  # read and forgotten
         if not self.pool.owner.budget.take(len(data)):
             raise Unreadable  # guards memory: like a spoilt one it may have run
@@ -370,18 +378,22 @@
             self.transport.abort()
         if attempt is None or attempt.ended:
             return
-        if status == 200:
+        if self._is_served(status):
             lines = end_to_end(headers)
             if not any(name == b"date" for name, _ in headers):
                 lines += DATE.now()  # RFC 9110, 6.6.1: who passes on an answer without one adds it
-            self.pool.end(attempt, Outcome.SERVED, Answer(200, lines, b"".join(chunks)))
-        elif 400 <= status < 500:
+            self.pool.end(attempt, Outcome.SERVED, Answer(status, lines, b"".join(chunks)))
+        elif 400 <= status < 500 and not self.pool.any_status:
             # the backend can't use what the client sent, which tells nothing of the backend's health
             self.pool.end(attempt, Outcome.CANCELLED, Answer(400, DATE.now(), b""))
         else:
-            not_run = status in (503, 504) and (b"x-not-run", b"1") in headers
+            not_run = status in (429, 503, 504) and (b"x-not-run", b"1") in headers
             self.pool.end(attempt, Outcome.REJECTED if not_run else Outcome.ERROR)
 
+    def _is_served(self, status: int) -> bool:
+        """On the platform only a 200 is the answer to a request; elsewhere all but a server's failing."""
+        return status == 200 or (self.pool.any_status and 200 <= status < 500 and status != 429)
+
     def _spoilt(self) -> None:
         """No answer that HTTP knows, or none that ends: an error, and what was asked may have run."""
         self.transport.abort()
--- a/dykemux/clients.py
+++ b/dykemux/clients.py
@@ -10,6 +10,7 @@
 import asyncio
 import logging
 import math
+import os
 import socket
 import time
 from collections import deque
@@ -33,7 +34,7 @@
     figure,
     is_host,
 )
-from dykemux.proxy import HINT_MOST_US, Ask, Proxy, Request
+from dykemux.proxy import HINT_MOST_US, Ask, Proxy, Request, Router
 from flintplank.interface import Effect
 
 BACKLOG = 2048
@@ -81,11 +82,11 @@
         self.idle: dict[Client, None] = {}  # those between requests, the longest idle first
         self.draining = False
         self.accepted_at = 0.0
-        self.server: asyncio.Server | None = None
+        self.servers: list[asyncio.Server] = []
 
     def reload(self, config: Config) -> None:
         self.most, self.crowd_most = config.client_sockets, config.crowd_sockets
-        if config.listen != self.listens:
+        if config.listen != self.listens and not config.listed:  # else the host tells of its listeners
             log.error("reload: listen: a new address needs a restart; %s:%d stays", *self.listens)
 
     async def listen(self, address: tuple[str, int]) -> tuple[str, int]:
@@ -93,8 +94,10 @@
         listener = socket.socket(family, socket.SOCK_STREAM)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)  # no waiting for TIME_WAIT
         listener.bind(address)
-        self.server = await self.loop.create_server(lambda: Client(self), sock=listener, backlog=BACKLOG)
-        self.loop.call_later(SWEEP_S, self._sweep)
+        server = await self.loop.create_server(lambda: Client(self), sock=listener, backlog=BACKLOG)
+        if not self.servers:
+            self.loop.call_later(SWEEP_S, self._sweep)
+        self.servers.append(server)
         bound = listener.getsockname()
         return bound[0], bound[1]
 
@@ -147,8 +150,8 @@
             now < started + ACCEPT_S or now < self.accepted_at + QUIET_S
         ):
             await asyncio.sleep(0.02)
-        if self.server:
-            self.server.close()  # the last accepts left the backlog empty for QUIET_S
+        for server in self.servers:
+            server.close()  # the last accepts left the backlog empty for QUIET_S
         while self.open and time.monotonic() < ends_at:
             for client in list(self.idle):
                 client.close()
@@ -311,6 +314,9 @@
             self.headers = [
                 (n, b"%d" % (int(v[:9]) - 1) if n == b"max-forwards" else v) for n, v in self.headers
             ]
+        if proxy.router:
+            self._read_routed(proxy.router, method, path, fields, version)
+            return
         deadline = fields.get(b"x-deadline-ms")
         name, klass = fields.get(b"x-request-id"), proxy.classes.get(named.decode("latin-1"))
         if (
@@ -339,6 +345,40 @@
             method != b"GET",
         )
 
+    def _read_routed(
+        self, router: Router, method: bytes, path: bytes, fields: dict[bytes, bytes], version: str
+    ) -> None:
+        """A request of a host with routes of its own, which asks nothing of its clients."""
+        host = fields.get(b"host", b"").lower()
+        if not host.endswith(b"]"):
+            host = host.rpartition(b":")[0] if b":" in host else host
+        policy = router.find(host.strip(b"[]"), path, method, fields)
+        if policy is None:
+            self.wrong = 404
+            return
+        deadline = fields.get(b"x-deadline-ms")
+        if deadline is not None and not (deadline.isdigit() and len(deadline) <= 12):
+            self.wrong = 400
+            return
+        name, added = fields.get(b"x-request-id"), b""
+        if not name:
+            added = b"x-request-id: %b\r\n" % os.urandom(8).hex().encode()
+        hint = figure(fields.get(b"x-cost-hint", b""), HINT_MOST_US)
+        lines = end_to_end(self.headers, READ_HERE)
+        most = policy.klass.deadline_ms
+        self.ask = Ask(
+            b"%b %b HTTP/1.1\r\n%b%b%b" % (method, self.url, lines, added, VIA[version]),
+            klass=policy.klass.name,
+            tenant=fields.get(b"x-tenant", b"").decode("latin-1"),
+            key=path.rpartition(b"/")[2],
+            time_left_ms=min(float(deadline), most) if deadline else most,
+            hint_ms=(hint or 0.0) / 1000.0,
+            is_retry=fields.get(b"x-retry") == b"1",
+            is_write=method in (b"POST", b"PUT", b"PATCH"),
+            policy=policy,
+            repeat_key=fields.get(b"idempotency-key", b""),
+        )
+
     def on_body(self, data: bytes) -> None:
         self.length += len(data)
         self.seen = 0
@@ -379,7 +419,7 @@
         proxy = self.owner.proxy
         if not self.welcome:
             wrong, self.last = wrong or 503, True
-        if ask and not wrong and ask.name in proxy.names:
+        if ask and not wrong and ask.name and ask.name in proxy.names:
             wrong = 400  # guards rules 1 and 2: the id of an open request tells which answer is whose
         if ask is None or wrong:
             proxy.budget.give(len(body))
--- a/dykemux/config.py
+++ b/dykemux/config.py
@@ -35,7 +35,7 @@
 class Config:
     name: str
     listen: tuple[str, int]
-    discovery: tuple[str, int]
+    discovery: tuple[str, int] | None  # None: `known` is all there is
     seed: int
     settings: Settings
     known: Members
@@ -45,6 +45,8 @@
     client_sockets: int
     crowd_sockets: int
     backend_sockets: int
+    listed: bool = False  # a reload takes `known` as the whole list
+    any_status: bool = False  # answers other than 200 are served too, unless they are of the server's failing
 
 
 def load(environ: Mapping[str, str]) -> Config:
@@ -80,8 +82,6 @@
         known = members_of(_object(told, "known"))
     except BadList as error:
         raise ConfigError(f"known: {error}") from None
-    shared = sockets - OWN_DESCRIPTORS
-    backend, crowd = int(shared * BACKEND_SHARE), int(shared * CROWD_SHARE)
     return Config(
         name,
         listen,
@@ -91,13 +91,18 @@
         known,
         conn_idle,
         grace,
-        int(max(BODY_LEAST_MB, (memory - BASE_MB) * BODY_SHARE) * MB),
-        shared - backend - crowd,
-        crowd,
-        backend,
+        *shares_of(memory, sockets),
     )
 
 
+def shares_of(memory_mb: float, sockets: int) -> tuple[int, int, int, int]:
+    """Bytes of bodies, then sockets of clients, of a crowd beyond them, and of backends."""
+    shared = sockets - OWN_DESCRIPTORS
+    backend, crowd = int(shared * BACKEND_SHARE), int(shared * CROWD_SHARE)
+    body = int(max(BODY_LEAST_MB, (memory_mb - BASE_MB) * BODY_SHARE) * MB)
+    return body, shared - backend - crowd, crowd, backend
+
+
 def _variable(environ: Mapping[str, str], name: str) -> str:
     value = environ.get(name, "")
     if not value:
--- a/dykemux/discovery.py
+++ b/dykemux/discovery.py
@@ -41,6 +41,7 @@
     state: State
     weight: float
     since_ms: float
+    pool: str = ""  # where the host has pools of its own
 
 
 @dataclass(slots=True, frozen=True)
--- a/dykemux/proxy.py
+++ b/dykemux/proxy.py
@@ -9,8 +9,10 @@
 import asyncio
 import hashlib
 import logging
+import math
 import time
 from collections import deque
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Protocol, cast
 
@@ -27,6 +29,20 @@
 log = logging.getLogger(__name__)
 
 
+class Decisions(Protocol):
+    """What decides: a Balancer, or what speaks as one."""
+
+    def handle(self, now_ms: float, event: api.Event) -> list[api.Action]: ...
+
+
+class Router(Protocol):
+    """Where the host has routes of its own: which policy a request comes under."""
+
+    def find(
+        self, host: bytes, path: bytes, method: bytes, headers: Mapping[bytes, bytes]
+    ) -> api.RoutePolicy | None: ...
+
+
 class Asker(Protocol):
     """Whoever waits for the answer."""
 
@@ -46,6 +62,8 @@
     hint_ms: float = 0.0
     is_retry: bool = False
     is_write: bool = False
+    policy: api.RoutePolicy | None = None
+    repeat_key: bytes = b""  # Idempotency-Key
 
 
 @dataclass(slots=True, eq=False)
@@ -69,13 +87,22 @@
 
 
 class Proxy:
-    def __init__(self, loop: asyncio.AbstractEventLoop, config: Config) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        config: Config,
+        decisions: Decisions | None = None,
+        router: Router | None = None,
+    ) -> None:
         self.loop = loop
+        self.router = router
         self._settle(config.settings)
-        self.balancer = Balancer(config.settings, config.seed)
+        self.balancer: Decisions = decisions or Balancer(config.settings, config.seed)
         self.origin = time.time() - time.monotonic()  # wall clock at start; it never steps after
         self.pool = Pool(loop, config, self)
-        self.discovery = Discovery(loop, config.discovery, config.known.index, self.told)
+        self.discovery = (
+            Discovery(loop, config.discovery, config.known.index, self.told) if config.discovery else None
+        )
         self.nodes: dict[int, Node] = {}
         self.numbers: dict[str, int] = {}
         self.requests: dict[int, Request] = {}  # those not over, or with attempts out
@@ -84,6 +111,7 @@
         self.last_ident = 0
         self.events: deque[api.Event] = deque()
         self.telling = False
+        self.decided = 0.0  # when the module was last asked
         self._take_list(config.known, api.ListKind.CACHED)
 
     def reload(self, config: Config) -> None:
@@ -94,7 +122,10 @@
         self.tell(api.NewSettings(config.settings))
         self.pool.settle(config)
         self.budget.most = config.body_bytes
-        self.discovery.move(config.discovery)
+        if self.discovery and config.discovery:
+            self.discovery.move(config.discovery)
+        if config.listed:
+            self._take_list(config.known, api.ListKind.FULL)
 
     def _settle(self, settings: api.Settings) -> None:
         self.settings = settings
@@ -115,7 +146,8 @@
             while self.events:
                 event = self.events.popleft()
                 try:
-                    actions = self.balancer.handle((self.origin + time.monotonic()) * 1000.0, event)
+                    self.decided = time.monotonic()
+                    actions = self.balancer.handle((self.origin + self.decided) * 1000.0, event)
                 except Exception as error:  # no event may end the process; the deadline answers its request
                     log.error("module: %s: %s on %.200r", type(error).__name__, error, event)
                     if isinstance(event, api.TimerFired):  # or what the timer keeps going would stop for good
@@ -130,8 +162,8 @@
 
     def _carry_out(self, action: api.Action) -> None:
         match action:
-            case api.StartAttempt(ident, backend, timeout_ms):
-                self._start(ident, backend, timeout_ms)
+            case api.StartAttempt():
+                self._start(action)
             case api.Refuse(ident, retry_after_ms):
                 self._finish(ident, 503, retry_after_ms)
             case api.Fail(ident):
@@ -144,9 +176,11 @@
                 if request:
                     self.pool.give_up(request.attempts[number], api.Outcome.CANCELLED)
             case api.WatchList():
-                self.discovery.watch()
+                if self.discovery:
+                    self.discovery.watch()
             case api.FetchList():
-                self.discovery.fetch()
+                if self.discovery:
+                    self.discovery.fetch()
             case api.CloseIdle(backend):
                 if backend in self.nodes:
                     self.pool.close_idle(self.nodes[backend])
@@ -160,12 +194,13 @@
         now = time.monotonic()
         left_ms = ask.time_left_ms
         if left_ms is None:
-            klass = self.classes.get(ask.klass)
+            klass = ask.policy.klass if ask.policy else self.classes.get(ask.klass)
             left_ms = klass.deadline_ms if klass else self.deadline_most_ms
         self.last_ident += 1
         request = Request(self.last_ident, client, ask.head, body, now + left_ms / 1000.0, name=ask.name)
         self.requests[request.ident] = request
-        self.names.add(request.name)
+        if request.name:
+            self.names.add(request.name)
         request.timer = self.loop.call_later(left_ms / 1000.0, self._deadline, request)
         self.tell(
             api.Arrival(
@@ -177,15 +212,20 @@
                 ask.hint_ms,
                 ask.is_retry,
                 ask.is_write,
+                ask.policy,
+                number_of(ask.repeat_key) if ask.repeat_key else None,
             )
         )
         return request
 
-    def _start(self, ident: int, backend: int, timeout_ms: float) -> None:
+    def _start(self, wanted: api.StartAttempt) -> None:
+        ident, backend, timeout_ms = wanted.request, wanted.backend, wanted.timeout_ms
         request, now = self.requests[ident], time.monotonic()
         number, node = len(request.attempts), self.nodes.get(backend)
         ends_at = min(request.deadline, now + timeout_ms / 1000.0) if timeout_ms else request.deadline
-        attempt = Attempt(request, number, node or Node(backend, "", ("", 0), 0.0), now, ends_at)
+        # counted from the decision, not from here: between the two the process may have stood still
+        send_by = self.decided + wanted.within_ms / 1000.0 if wanted.within_ms else math.inf
+        attempt = Attempt(request, number, node or Node(backend, "", ("", 0), 0.0), now, ends_at, send_by)
         request.attempts.append(attempt)
         barred = request.over or number >= self.settings.max_attempts
         if barred or node is None or now >= ends_at:
@@ -296,8 +336,9 @@
                 node.address, node.since_ms = member.address, member.since_ms
                 self.pool.close_idle(node)  # they lead to what it was before
         return api.BackendInfo(
-            number, member.state, member.zone, member.kind, member.cell, member.weight, member.since_ms
-        )
+            number, member.state, member.zone, member.kind, member.cell, member.weight, member.since_ms,
+            member.pool,
+        )  # fmt: skip
 
     def _tell_off(self, node: Node) -> None:
         if node.listed:
--- a/flintplank/choice.py
+++ b/flintplank/choice.py
@@ -39,7 +39,7 @@
 RATE_MS = 3000.0  # smoothing of our own work rate, for slow start (ours)
 SHORT_SHARE = 0.1  # of a period's arrivals that are refused where the fleet is short (ours)
 ADVICE_LEAST = 0.25  # of the aim: the least advice to refused clients, so that a retry may be in time (ours)
-UPDATE, WATCH = 0, 1  # timer tokens
+UPDATE, WATCH = 0, 1  # timer tokens; those of pauses and second copies count on from there
 
 
 @dataclass(slots=True)
@@ -111,7 +111,9 @@
     sent_at: float
     cost: float
     held: float
+    timeout: float = 0.0  # ms; 0: the request's deadline
     may_have_run: bool = True  # until its outcome proves that it never ran
+    out: bool = True
 
 
 @dataclass(slots=True)
@@ -122,6 +124,9 @@
     deadline: float
     in_share: bool
     attempts: list[Attempt] = field(default_factory=list)
+    policy: api.RoutePolicy | None = None
+    last: api.Outcome = api.Outcome.NOT_SENT  # of the attempt that ended last
+    paused: bool = False  # before the next attempt, which is paid for
 
 
 class Rate:
@@ -142,8 +147,11 @@
 class Balancer:
     """One proxy.  Events of ended requests are passed over; an attempt never made is a caller's KeyError."""
 
-    def __init__(self, settings: api.Settings, seed: int) -> None:
+    def __init__(self, settings: api.Settings, seed: int, books: api.Books | None = None) -> None:
         self._settle(settings)
+        self.books = books  # needed by requests with a policy
+        self.timers: dict[int, tuple[int, bool]] = {}  # token: request, and whether for a second copy
+        self.last_token = WATCH
         self.random = random.Random(seed)
         self.shares: dict[str, tuple[float, float]] = {}  # by tenant: requests saved up, and when
         self.asked: dict[str, Rate] = {}  # by tenant with a quota: first tries
@@ -186,6 +194,8 @@
         elif isinstance(event, api.TimerFired) and event.token == WATCH:
             self.watch_due = False
             self.actions.append(api.WatchList())
+        elif isinstance(event, api.TimerFired) and event.token != UPDATE:
+            self._resume(now_ms, *self.timers.pop(event.token))
         elif isinstance(event, api.TimerFired):
             self._update(now_ms)
         elif isinstance(event, api.ClientGone):
@@ -303,9 +313,11 @@
     # The request's life: rules 1 and 2.
 
     def _arrival(self, now: float, arrival: api.Arrival) -> None:
-        klass = self.classes.get(arrival.klass) or api.RequestClass(arrival.klass)
+        policy = arrival.policy
+        klass = policy.klass if policy else self.classes.get(arrival.klass) or api.RequestClass(arrival.klass)
         deadline, in_share = now + arrival.time_left_ms, self._within_share(now, arrival)
-        request = self.requests[arrival.request] = Request(arrival, klass, now, deadline, in_share)
+        request = Request(arrival, klass, now, deadline, in_share, policy=policy)
+        self.requests[arrival.request] = request
         self.retries = min(RETRY_BURST, self.retries + RETRY_SHARE)
         self.arrived += 1
         self._go_on(now, request)
@@ -321,20 +333,24 @@
         request = self.requests.get(ended.request)
         if ended.finished:
             self.requests.pop(ended.request, None)
-        attempt.may_have_run = ended.outcome not in api.NEVER_RAN
+        attempt.may_have_run, attempt.out = ended.outcome not in api.NEVER_RAN, False
         self.ended.now += attempt.may_have_run
-        self._judge(now, attempt.to, ended)
+        self._judge(now, attempt, ended)
         if ended.outcome is api.Outcome.SERVED:
             self.served.now += attempt.cost
             if self._ramp(attempt.to, now) >= 1.0:
                 attempt.to.learn(max(1.0, ended.latency_ms) / attempt.cost)
+            if request and request.policy and self.books:
+                self.books.served(request.policy, ended.latency_ms)
         if request and not ended.finished:
-            self._go_on(now, request)
+            request.last = ended.outcome
+            if not any(other.out for other in request.attempts):  # else a second copy may yet be served
+                self._go_on(now, request)
 
-    def _judge(self, now: float, backend: Backend, ended: api.AttemptEnded) -> None:
+    def _judge(self, now: float, attempt: Attempt, ended: api.AttemptEnded) -> None:
         """Booked cost ignores how attempts end, so a backend that fails fast would keep its share: rest."""
-        outcome = ended.outcome
-        if outcome is api.Outcome.TIMEOUT and ended.latency_ms < min(self.aims):
+        outcome, backend = ended.outcome, attempt.to
+        if outcome is api.Outcome.TIMEOUT and ended.latency_ms < (0.9 * attempt.timeout or min(self.aims)):
             return  # no backend could have served a client that waits so little
         if outcome is api.Outcome.SERVED:
             backend.strikes = max(0.0, backend.strikes - REDEEM)
@@ -385,21 +401,95 @@
         return self.press <= bears * (BEAR if request.in_share else BEAR_OVER_SHARE)
 
     def _go_on(self, now: float, request: Request) -> None:
-        """Send a request that has no attempt out, or end it."""
+        """Send a request that has no attempt out, let it pause, or end it."""
         ran = next((attempt for attempt in request.attempts if attempt.may_have_run), None)
+        if self._pauses(now, request, ran):
+            return
         backend = self._choose(now, request, ran)
         if backend is not None:
-            self._send(now, request, backend)
+            self._send(now, request, backend, ran)
             return
         ident, klass = request.arrival.request, request.klass
         del self.requests[ident]
         everywhere = klass.effect is api.Effect.KEYED and klass.scope is api.DedupScope.ALL
-        if ran is None or klass.effect is api.Effect.IDEMPOTENT or everywhere:
+        harmless = klass.effect is api.Effect.IDEMPOTENT or everywhere
+        if ran is None or (request.policy.refuse_exhausted if request.policy else harmless):
             self.refused += 1
             self.actions.append(api.Refuse(ident, self._advice(now, klass)))
         else:
             self.actions.append(api.Fail(ident))
 
+    def _pauses(self, now: float, request: Request, ran: Attempt | None) -> bool:
+        """Back off, but only before an attempt allowed by then: what is given up is answered at once."""
+        policy = request.policy
+        if policy is None or not request.attempts or request.paused or request.last not in policy.retry_on:
+            return False
+        pause = policy.pause_before(len(request.attempts))
+        if not pause or not self._may_send(now + pause, request, ran):
+            return False
+        self._pay(request, ran)
+        request.paused = True
+        self._remind(request, pause, False)
+        return True
+
+    def _remind(self, request: Request, delay: float, copy: bool) -> None:
+        self.last_token += 1
+        self.timers[self.last_token] = (request.arrival.request, copy)  # it ends when it fires
+        self.actions.append(api.SetTimer(self.last_token, delay))
+
+    def _resume(self, now: float, ident: int, copy: bool) -> None:
+        """A pause is over, or a second copy is due."""
+        request = self.requests.get(ident)
+        if request is None:
+            return
+        if not copy:
+            self._go_on(now, request)
+            request.paused = False
+            return
+        policy, first = request.policy, request.attempts[0]
+        if policy is None or len(request.attempts) > 1 or not first.out:
+            return
+        if not self._may_send(now, request, first):
+            return
+        bound = request.klass.effect is api.Effect.KEYED or policy.copy_in_group
+        # not where the first is: there it would only wait behind it
+        backend = self._in_group(now, request, first, True) if bound else self._next_turn(now, request)
+        if backend is not None:
+            self._pay(request, first)
+            self._send(now, request, backend, first)
+
+    def _may_send(self, now: float, request: Request, ran: Attempt | None) -> bool:
+        """Whether rules and route allow another attempt at that time.  `ran`: one that may have run."""
+        policy, klass, most = request.policy, request.klass, self.settings.max_attempts
+        most = min(most, policy.max_attempts) if policy else most
+        if now >= request.deadline or len(request.attempts) >= most:
+            return False
+        if ran is None or request.paused:
+            return True
+        if klass.effect is api.Effect.UNSAFE:
+            return False
+        if not (self.books.may_repeat(policy) if policy and self.books else self.retries >= 1.0):
+            return False
+        # a repeat may only go where the first is remembered, and it needs time to get there
+        margin = self.settings.connect_timeout_ms + (policy.margin_ms if policy else 0.0)
+        return klass.effect is api.Effect.IDEMPOTENT or now < ran.sent_at + klass.repeat_window_ms - margin
+
+    def _pay(self, request: Request, ran: Attempt | None) -> None:
+        if ran is not None and not request.paused:
+            if request.policy and self.books:
+                self.books.spend(request.policy)
+            else:
+                self.retries -= 1.0
+
+    def _in_group(self, now: float, request: Request, ran: Attempt, other: bool = False) -> Backend | None:
+        """The lightest backend of the group that knows of an attempt; `other`: not one tried already."""
+        scope = request.klass.scope
+        here = group_of(ran.to.info, scope)
+        group = [b for b in self.backends.values() if group_of(b.info, scope) == here and self._ready(now, b)]
+        if other:
+            group = [b for b in group if not any(attempt.to is b for attempt in request.attempts)]
+        return max(group, key=lambda b: (b.weight, -b.turn), default=None)
+
     def _advice(self, now: float, klass: api.RequestClass) -> float:
         """When a refused client should come back: a shortage is taken to last as long again as it has lasted.
 
@@ -411,26 +501,25 @@
         return min(max(short, ADVICE_LEAST * klass.aim_ms) * spread, self.settings.max_retry_after_ms)
 
     def _choose(self, now: float, request: Request, ran: Attempt | None) -> Backend | None:
-        if now >= request.deadline or len(request.attempts) >= self.settings.max_attempts:
+        policy = request.policy
+        if policy and request.attempts and request.last not in policy.retry_on:
+            return None
+        if not self._may_send(now, request, ran):
             return None
         if ran is None:
             return self._keyed_turn(now, request) if self._bears(now, request) else None
-        klass = request.klass
-        if klass.effect is api.Effect.UNSAFE or self.retries < 1.0:
+        if request.klass.effect is api.Effect.UNSAFE:
+            return None
+        bound = request.klass.effect is api.Effect.KEYED or (policy is not None and policy.retry_in_group)
+        # after a pause the window may have closed: the timer came late
+        if request.klass.effect is api.Effect.KEYED and now >= ran.sent_at + request.klass.repeat_window_ms:
             return None
-        chosen = self._next_turn(now, request) if klass.effect is api.Effect.IDEMPOTENT else None
-        closes = ran.sent_at + klass.repeat_window_ms - self.settings.connect_timeout_ms
-        if klass.effect is api.Effect.KEYED and now < closes:
-            # a repeat may only go where the first is remembered, and it needs time to get there
-            here = group_of(ran.to.info, klass.scope)
-            group = [b for b in self.backends.values() if group_of(b.info, klass.scope) == here]
-            group = [b for b in group if self._ready(now, b)]
-            chosen = max(group, key=lambda b: (b.weight, -b.turn), default=None)
+        chosen = self._in_group(now, request, ran) if bound else self._next_turn(now, request)
         if chosen is not None:
-            self.retries -= 1.0
+            self._pay(request, ran)
         return chosen
 
-    def _send(self, now: float, request: Request, backend: Backend) -> None:
+    def _send(self, now: float, request: Request, backend: Backend, ran: Attempt | None) -> None:
         """Start an attempt and book it: its cost is on the board and off the weight at once."""
         cost = BASE_MS + request.arrival.hint_ms
         turn_cost = cost * backend.factor / self._ramp(backend, now)  # rule 4: a cold backend is a slow one
@@ -448,7 +537,16 @@
         backend.load += turns
         backend.weight -= 2.0 * turns
         self._queue_turn(backend)
-        self.actions.append(api.StartAttempt(request.arrival.request, backend.info.backend))
+        policy, within = request.policy, 0.0
+        if ran is not None and request.klass.effect is api.Effect.KEYED:
+            within = ran.sent_at + request.klass.repeat_window_ms - now  # no stall may send it later
+        attempt.timeout = policy.attempt_timeout_ms if policy else 0.0
+        ident = request.arrival.request
+        self.actions.append(api.StartAttempt(ident, backend.info.backend, attempt.timeout, within))
+        if policy and len(request.attempts) == 1 and self.books:
+            delay = self.books.copy_delay(policy)
+            if delay is not None and self.settings.second_copies and policy.max_attempts > 1:
+                self._remind(request, delay, True)
 
     # List, drains and slow start: rules 3 and 4.
 
--- a/flintplank/interface.py
+++ b/flintplank/interface.py
@@ -17,6 +17,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import Protocol
 
 
 class Effect(Enum):
@@ -87,6 +88,54 @@
             raise ValueError(f"effect: unknown effect {self.effect!r}")
 
 
+@dataclass(slots=True, frozen=True)
+class RoutePolicy:
+    """What a request's route allows.  The request keeps it to its end, also when its route is gone."""
+
+    route: str
+    klass: RequestClass
+    max_attempts: int = 1  # second copies count
+    attempt_timeout_ms: float = 0.0  # 0: until the deadline
+    backoff_ms: float = 0.0  # before the second attempt; doubled before each further one
+    backoff_most_ms: float = 1000.0
+    retry_on: frozenset[Outcome] = frozenset(NEVER_RAN)
+    retry_share: float = 0.2  # attempts after one that may have run, and copies, per first try
+    retry_in_group: bool = True  # of the first that may have run; a keyed request never leaves it
+    spills: bool = False  # what one pool refuses goes to the next of the split
+    copy_after_ms: float = 0.0
+    copy_percentile: float = 0.0  # of the route's served latency; 0: none
+    copy_in_group: bool = True
+    refuse_exhausted: bool = False  # refuse, not fail, when an attempt may have run
+    requests_per_s: float = 0.0  # 0: no limit
+    concurrency: int = 0  # 0: no limit
+    margin_ms: float = 0.0  # of the repeat window that is left unused
+    split: tuple[tuple[str, float], ...] = ()  # pools and their weights
+
+    def __post_init__(self) -> None:
+        _at_least(0.0, attempt_timeout_ms=self.attempt_timeout_ms, backoff_ms=self.backoff_ms)
+        _at_least(0.0, backoff_most_ms=self.backoff_most_ms, retry_share=self.retry_share)
+        _at_least(0.0, copy_after_ms=self.copy_after_ms, copy_percentile=self.copy_percentile)
+        _at_least(0.0, requests_per_s=self.requests_per_s, concurrency=self.concurrency)
+        _at_least(0.0, margin_ms=self.margin_ms)
+        if self.max_attempts < 1:
+            raise ValueError("max_attempts: at least one attempt is needed")
+
+    def pause_before(self, attempt: int) -> float:
+        """Before attempt 1, 2, ...; the first, 0, never waits."""
+        if not self.backoff_ms:
+            return 0.0
+        return min(self.backoff_ms * 2.0 ** min(attempt - 1, 60), max(self.backoff_most_ms, self.backoff_ms))
+
+
+class Books(Protocol):
+    """What a balancer asks of the books of routes (`flintplank.routes`)."""
+
+    def may_repeat(self, policy: RoutePolicy) -> bool: ...
+    def spend(self, policy: RoutePolicy) -> None: ...
+    def served(self, policy: RoutePolicy, latency_ms: float) -> None: ...
+    def copy_delay(self, policy: RoutePolicy) -> float | None: ...
+
+
 @dataclass(slots=True, frozen=True)
 class Tenant:
     name: str
@@ -165,6 +214,7 @@
     cell: int = 0  # dedup group
     weight: float = 1.0
     started_ms: float = 0.0  # 0: long ago
+    pool: str = ""
 
 
 @dataclass(slots=True)
@@ -192,6 +242,8 @@
     hint_ms: float = 0.0  # expected work; 0: none given
     is_retry: bool = False
     is_write: bool = False
+    policy: RoutePolicy | None = None  # takes the class's place where the host has routes
+    repeat_key: int | None = None  # the same for the client's own repeats
 
 
 @dataclass(slots=True)
@@ -245,6 +297,7 @@
     request: int
     backend: int
     timeout_ms: float = 0.0  # 0: until the client gives up
+    within_ms: float = 0.0  # NOT_SENT if its first byte could only go out later; 0: no such limit
 
 
 @dataclass(slots=True)
--- a/heronreel/cli/__main__.py
+++ b/heronreel/cli/__main__.py
@@ -6,7 +6,9 @@
 
 from heronreel import __version__
 from heronreel.cli.check import check_command
+from heronreel.cli.demo import demo_command
 from heronreel.cli.explain import explain_command
+from heronreel.cli.serve import serve_command
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -17,6 +19,8 @@
 
 main.add_command(check_command)
 main.add_command(explain_command)
+main.add_command(serve_command)
+main.add_command(demo_command)
 
 if __name__ == "__main__":
     main(prog_name="heronreel")
--- /dev/null
+++ b/heronreel/cli/serve.py
@@ -0,0 +1,16 @@
+"""`heronreel serve FILE`."""
+
+from __future__ import annotations
+
+import sys
+
+import click
+
+
+@click.command("serve")
+@click.argument("file")
+def serve_command(file: str) -> None:
+    """Run a proxy on the file's own pools.  SIGHUP takes the file again, SIGTERM drains."""
+    from heronreel.serve.program import main  # check and explain need no event loop
+
+    sys.exit(main(file))
--- a/heronreel/routes/load.py
+++ b/heronreel/routes/load.py
@@ -258,6 +258,8 @@
     def _process(self, raw: object) -> Process:
         told = self.table(raw, ("proxy",), schema.ProxyTable)
         names = {field for field in Limits.__dataclass_fields__ if field in told}
+        if "discovery" in told:
+            told["discovery"] = self._address(told["discovery"], ("proxy", "discovery"), False)
         limits = Limits(**{name: told.pop(name) for name in names})
         return Process(**told, limits=limits)
 
@@ -302,6 +304,9 @@
                 names.append((path, told["name"]))
                 pools.setdefault(told["name"], Pool(told["name"], tuple(members), discovered))
         self.once(names, "pool")
+        found = [path for path, name in names if pools[name].discovered]
+        if len(found) > 1:  # discovery tells of no pools
+            self.wrong(found[1], "a second pool from the platform's discovery", "one at most")
         # one backend in two pools would be booked twice, and a cold one be sent twice what it bears
         self.once(addresses, "address")
         return pools
--- a/heronreel/routes/schema.py
+++ b/heronreel/routes/schema.py
@@ -66,6 +66,7 @@
     cold_ms: Span = 0.0
     overload_factor: Annotated[float, _meta("a number from 1 to 100", ge=1.0, le=100.0)] = 2.0
     fall_ms: Positive = 1000.0
+    discovery: Address | UnsetType = UNSET
 
 
 class ListenerTable(Struct):
@@ -133,7 +134,7 @@
     second_copy_percentile: Annotated[
         float, _meta("a percentile from 50 to 99.9, or 0 for none", ge=0.0, le=99.9)
     ] = 0.0
-    second_copy_to: Reaches = "group"
+    second_copy_to: Annotated[Literal["group", "pool"], _meta('"group" or "pool"')] = "group"
     when_exhausted: Annotated[Literal["fail", "refuse"], _meta('"fail" or "refuse"')] = "fail"
     requests_per_s: Rate = 0.0
     concurrency: Count = 0
--- /dev/null
+++ b/heronreel/serve/policies.py
@@ -0,0 +1,164 @@
+"""A checked file as the decision module and the network code take it.  No I/O."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Mapping
+from dataclasses import replace
+
+from dykemux.config import Config, shares_of
+from dykemux.discovery import Member, Members
+from flintplank import interface as api
+from heronreel.routes.index import RouteIndex
+from heronreel.routes.model import OUTCOMES, Exhausted, Pool, Reach, Route, RoutesFile
+
+ASK_WITHIN_MS = 10_000.0
+
+
+def class_of(route: Route) -> api.RequestClass:
+    policy = route.policy
+    return api.RequestClass(
+        policy.klass,
+        policy.aim_ms,
+        policy.deadline_ms,
+        policy.worth,
+        policy.late_worth,
+        policy.effect,
+        policy.group,
+        policy.window_ms if policy.effect is api.Effect.KEYED else 0.0,
+    )
+
+
+def policy_of(route: Route, margin_ms: float) -> api.RoutePolicy:
+    """The module's policy of a route."""
+    policy = route.policy
+    return api.RoutePolicy(
+        route=route.name,
+        klass=class_of(route),
+        max_attempts=policy.attempts,
+        attempt_timeout_ms=policy.attempt_timeout_ms,
+        backoff_ms=policy.backoff_ms,
+        backoff_most_ms=policy.backoff_most_ms,
+        retry_on=frozenset(outcome for word in policy.retry_on for outcome in OUTCOMES[word]),
+        retry_share=policy.retry_budget,
+        retry_in_group=policy.retry_to is Reach.GROUP,
+        spills=policy.retry_to is Reach.SPLIT,
+        copy_after_ms=policy.second_copy_after_ms,
+        copy_percentile=policy.second_copy_percentile,
+        copy_in_group=policy.second_copy_to is Reach.GROUP,
+        refuse_exhausted=policy.when_exhausted is Exhausted.REFUSE,
+        requests_per_s=policy.requests_per_s,
+        concurrency=policy.concurrency,
+        margin_ms=margin_ms,
+        split=tuple((share.pool, share.weight) for share in route.split),
+    )
+
+
+def without_key(policy: api.RoutePolicy) -> api.RoutePolicy:
+    """The same for a request without Idempotency-Key: nobody can drop its repeats, so it is unsafe."""
+    return replace(
+        policy,
+        klass=replace(policy.klass, effect=api.Effect.UNSAFE, repeat_window_ms=0.0),
+        retry_on=policy.retry_on & frozenset(api.NEVER_RAN),
+        copy_after_ms=0.0,
+        copy_percentile=0.0,
+        refuse_exhausted=False,
+    )
+
+
+class Router:
+    """Finds a request's policy; made anew for each file, and never changed."""
+
+    def __init__(self, file: RoutesFile) -> None:
+        self.index = RouteIndex(file.routes)
+        margin = file.process.limits.clock_margin_ms
+        self.policies: dict[Route, tuple[api.RoutePolicy, api.RoutePolicy]] = {}
+        for route in file.routes:
+            policy = policy_of(route, margin)
+            keyed = route.policy.effect is api.Effect.KEYED
+            self.policies[route] = (policy, without_key(policy) if keyed else policy)
+
+    def find(
+        self, host: bytes, path: bytes, method: bytes, headers: Mapping[bytes, bytes]
+    ) -> api.RoutePolicy | None:
+        route = self.index.find(host, path, method, headers)
+        if route is None:
+            return None
+        policy, unkeyed = self.policies[route]
+        return policy if headers.get(b"idempotency-key") else unkeyed
+
+
+def settings_of(file: RoutesFile) -> api.Settings:
+    """The module's settings: its classes are the different ones of all routes, each once."""
+    process, limits = file.process, file.process.limits
+    classes: dict[api.RequestClass, None] = {}
+    for route in file.routes:
+        classes[replace(class_of(route), name="")] = None
+    return api.Settings(
+        classes=tuple(replace(klass, name=f"class-{n}") for n, klass in enumerate(classes)),
+        tenants=tuple(api.Tenant(t.name, t.share, t.requests_per_s) for t in file.tenants),
+        zone=process.zone,
+        zones=tuple(sorted({m.zone for pool in file.pools.values() for m in pool.members if m.zone})),
+        proxies=process.proxies,
+        watch_list=discovered_pool(file) != "",
+        ask_within_ms=ASK_WITHIN_MS,
+        max_attempts=limits.max_attempts,
+        second_copies=limits.second_copies,
+        max_retry_after_ms=limits.max_retry_after_ms,
+        connect_timeout_ms=limits.connect_timeout_ms,
+        cold_from=process.cold_from,
+        cold_ms=process.cold_ms,
+        overload_factor=process.overload_factor,
+        fall_ms=process.fall_ms,
+    )
+
+
+def discovered_pool(file: RoutesFile) -> str:
+    """The one pool whose members the platform's discovery tells; "" if all are in the file."""
+    return next((pool.name for pool in file.pools.values() if pool.discovered), "")
+
+
+def members_of(file: RoutesFile) -> Members:
+    """All members of the file's pools, as the whole of a list."""
+    entries = [entry for pool in file.pools.values() for entry in _entries(pool)]
+    return Members(0, True, entries)
+
+
+def _entries(pool: Pool) -> list[Member]:
+    return [
+        Member(
+            f"{pool.name}/{member.name}",
+            member.address,
+            member.zone or f"?{pool.name}/{member.name}",
+            member.kind,
+            # a member without a rack shares what it remembers with nobody
+            _number(member.rack or f"?{pool.name}/{member.name}"),
+            api.State.DRAINING if member.draining else api.State.UP,
+            member.weight,
+            0.0,
+            pool.name,
+        )
+        for member in pool.members
+    ]
+
+
+def _number(name: str) -> int:
+    return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=6).digest())
+
+
+def config_of(file: RoutesFile) -> Config:
+    process = file.process
+    listen = file.listeners[0].address if file.listeners else ("127.0.0.1", 0)
+    return Config(
+        process.name,
+        listen,
+        process.discovery if discovered_pool(file) else None,
+        process.seed,
+        settings_of(file),
+        members_of(file),
+        process.backend_idle_ms,
+        process.drain_grace_ms,
+        *shares_of(process.memory_mb, process.sockets),
+        listed=True,
+        any_status=True,
+    )
--- /dev/null
+++ b/heronreel/serve/program.py
@@ -0,0 +1,155 @@
+"""The process of `heronreel serve`: start, readiness, SIGHUP, SIGTERM."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import os
+import signal
+import sys
+from collections.abc import Callable
+
+import uvloop
+
+from dykemux.clients import Clients
+from dykemux.http1 import log_to_stderr
+from dykemux.proxy import Proxy
+from flintplank.pools import Pools
+from heronreel.routes.load import BYTES_MOST
+from heronreel.routes.model import Problem, RoutesFile
+from heronreel.routes.proof import Finding, Report, check
+from heronreel.serve.policies import Router, config_of, discovered_pool, settings_of
+
+log = logging.getLogger(__name__)
+
+
+def read_report(path: str) -> Report:
+    """The report on a file; one that can't be read or can't be served is a finding too."""
+    try:
+        with open(path, "rb") as source:
+            report = check(source.read(BYTES_MOST + 1))
+    except OSError as error:
+        problem = Problem(
+            0, "file", f"can't be read: {error.strerror or error}", "a readable file", "unreadable"
+        )
+        return Report(None, (Finding(problem),))
+    if report.file is None or not report.safe:
+        return report
+    return Report(report.file, tuple(_unserved(report.file)))
+
+
+def _unserved(file: RoutesFile) -> list[Finding]:
+    """What a file for the platform may lack, and a proxy of its own may not."""
+    found = []
+    if not file.listeners:
+        found.append(Problem(0, "listeners", "none", "at least one table under [[listeners]]", "unserved"))
+    if discovered_pool(file) and file.process.discovery is None:
+        right = 'discovery = "ADDRESS:PORT" in [proxy]'
+        found.append(
+            Problem(
+                file.line("pools"),
+                "pools",
+                "members come from discovery, and none is named",
+                right,
+                "unserved",
+            )
+        )
+    return [Finding(problem) for problem in found]
+
+
+class Server:
+    """A proxy and its listeners, fed by one file at a time."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, path: str, file: RoutesFile) -> None:
+        self.path = path
+        self.file = file
+        config = config_of(file)
+        self.pools = Pools(settings_of(file), config.seed, discovered_pool(file))
+        self.proxy = Proxy(loop, config, self.pools, Router(file))
+        self.clients = Clients(loop, config, self.proxy)
+
+    async def listen(self) -> dict[str, tuple[str, int]]:
+        """The address that each listener is bound to, by its name."""
+        return {row.name: await self.clients.listen(row.address) for row in self.file.listeners}
+
+    def reload(self) -> Report:
+        """Take the file as it is now, whole or not at all.
+
+        Nothing is changed before all of the new file is ready.  Requests under way keep the policy they began
+        with; those of pools that are gone end where they are.
+        """
+        report = read_report(self.path)
+        if report.file is None or not report.safe:
+            return report
+        file = report.file
+        config, router = config_of(file), Router(file)
+        if [row.address for row in file.listeners] != [row.address for row in self.file.listeners]:
+            log.error("reload: listeners: new addresses need a restart; the old ones stay")
+        if discovered_pool(file) != discovered_pool(self.file):
+            problem = Problem(
+                file.line("pools"), "pools", "another pool is discovered", "a restart", "unserved"
+            )
+            return Report(None, (Finding(problem),))
+        self.proxy.reload(config)
+        self.clients.reload(config)
+        self.proxy.router = router
+        self.pools.books.keep(route.name for route in file.routes)
+        self.file = file
+        return report
+
+
+async def run(path: str, file: RoutesFile, ready: Callable[[dict[str, tuple[str, int]]], None]) -> None:
+    """Serve until SIGTERM or SIGINT, then drain.  Raises OSError if a listener can't be bound."""
+    loop = asyncio.get_running_loop()
+    stop, reload = asyncio.Event(), asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, reload.set)
+    server = Server(loop, path, file)
+    ready(await server.listen())
+    gc.collect()
+    gc.freeze()
+    reloading = loop.create_task(_reloads(reload, server))
+    await stop.wait()
+    log.info("draining")
+    await server.clients.drain()
+    reloading.cancel()
+
+
+async def _reloads(asked: asyncio.Event, server: Server) -> None:
+    while True:
+        await asked.wait()
+        asked.clear()
+        try:
+            report = server.reload()
+        except Exception as error:  # a reload must never be what ends the service
+            log.exception("reload: %s; the old file may stay in force", error)
+            continue
+        for finding in report.findings[:4]:
+            log.error("reload: %s:%s", server.path, finding.problem)
+        if report.safe:
+            log.info("reload: done, %d routes", len(server.file.routes))
+        else:
+            log.error("reload: %d findings; the old file stays in force", len(report.findings))
+
+
+def main(path: str) -> int:
+    """Serve a file; 0 after a drain, 1 for a file that is refused, 2 for an address that can't be bound."""
+    report = read_report(path)
+    for finding in report.findings:
+        print(f"{path}:{finding}", file=sys.stderr)
+    if report.file is None or not report.safe:
+        return 1
+    log_to_stderr(report.file.process.name)
+
+    def ready(bound: dict[str, tuple[str, int]]) -> None:
+        for name, address in bound.items():
+            log.info("listening on %s:%d for %s (process %d)", *address, name, os.getpid())
+
+    try:
+        uvloop.run(run(path, report.file, ready))
+    except OSError as error:
+        print(f"heronreel: listeners: {error}", file=sys.stderr)
+        return 2
+    return 0
--- /dev/null
+++ b/heronreel/standins/client.py
@@ -0,0 +1,135 @@
+"""A steady client: so many requests a second on kept connections, each with one outcome."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import Counter, deque
+from dataclasses import dataclass, field
+
+import httptools
+
+OUTCOMES = ("served", "refused", "failed", "lost")
+
+
+@dataclass(slots=True)
+class Told:
+    """What the clients heard."""
+
+    asked: int = 0
+    counts: Counter[str] = field(default_factory=Counter)
+    latencies: deque[float] = field(default_factory=lambda: deque(maxlen=2000))  # s, of those served
+    routes: dict[str, Counter[str]] = field(default_factory=dict)
+
+    def note(self, route: str, outcome: str, took: float) -> None:
+        self.counts[outcome] += 1
+        self.routes.setdefault(route, Counter())[outcome] += 1
+        if outcome == "served":
+            self.latencies.append(took)
+
+    def percentile(self, percent: float) -> float:
+        """Of the latest served latencies, ms; 0 while there are none."""
+        row = sorted(self.latencies)
+        return row[min(len(row) - 1, int(len(row) * percent / 100.0))] * 1000.0 if row else 0.0
+
+
+class Caller(asyncio.Protocol):
+    """One kept connection; one request at a time."""
+
+    def __init__(self) -> None:
+        self.transport: asyncio.Transport | None = None
+        self.parser = httptools.HttpResponseParser(self)
+        self.answer: asyncio.Future[tuple[int, bytes]] | None = None
+        self.body = bytearray()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.transport = None
+        if self.answer and not self.answer.done():
+            self.answer.set_exception(ConnectionResetError("closed with an answer owed"))
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError:
+            if self.transport:
+                self.transport.abort()
+
+    def on_message_begin(self) -> None:
+        self.body = bytearray()
+
+    def on_body(self, data: bytes) -> None:
+        self.body += data
+
+    def on_message_complete(self) -> None:
+        if self.answer and not self.answer.done():
+            self.answer.set_result((self.parser.get_status_code(), bytes(self.body)))
+        if not self.parser.should_keep_alive() and self.transport:
+            self.transport.close()
+
+    async def ask(self, data: bytes, wait_s: float) -> tuple[int, bytes]:
+        """Status and body.  Raises TimeoutError or ConnectionResetError if there is no answer."""
+        assert self.transport
+        self.answer = asyncio.get_running_loop().create_future()
+        self.transport.write(data)
+        async with asyncio.timeout(wait_s):
+            return await self.answer
+
+
+class Clients:
+    """Connections to one proxy, as many as are busy at once."""
+
+    def __init__(
+        self, address: tuple[str, int], told: Told, wait_s: float = 2.5, grace_s: float = 0.2
+    ) -> None:
+        self.address = address
+        self.told = told
+        self.wait_s = wait_s + grace_s  # an answer on its way when the wait ends is not lost
+        self.idle: list[Caller] = []
+
+    async def ask(self, route: str, data: bytes) -> int:
+        """One request's outcome, noted; its status, 0 for none."""
+        self.told.asked += 1
+        began = time.monotonic()
+        status, outcome = 0, "lost"
+        for _ in range(2):  # a kept connection may close just as it is written to: once more on a new one
+            caller, fresh = await self._caller()
+            if caller is None:
+                outcome = "failed"  # never taken
+                break
+            try:
+                status, _ = await caller.ask(data, self.wait_s)
+            except TimeoutError:
+                if caller.transport:
+                    caller.transport.abort()
+                break
+            except ConnectionResetError:
+                if fresh:
+                    break
+                continue
+            if caller.transport and not caller.transport.is_closing():
+                self.idle.append(caller)
+            outcome = "served" if status < 400 else "refused" if status in (429, 503) else "failed"
+            break
+        self.told.note(route, outcome, time.monotonic() - began)
+        return status
+
+    async def _caller(self) -> tuple[Caller | None, bool]:
+        while self.idle:
+            caller = self.idle.pop()
+            if caller.transport and not caller.transport.is_closing():
+                return caller, False
+        try:
+            made = await asyncio.get_running_loop().create_connection(Caller, *self.address)
+        except OSError:
+            return None, True
+        return made[1], True
+
+    def close(self) -> None:
+        for caller in self.idle:
+            if caller.transport:
+                caller.transport.abort()
+        self.idle.clear()
--- a/tests/test_books.py
+++ b/tests/test_books.py
@@ -63,6 +63,7 @@
 
         proxy.balancer.handle = failing  # type: ignore[method-assign, assignment]
         await again.wait()
+        assert proxy.discovery
         proxy.discovery.close()
 
     run(talk())
