--- a/heronreel/routes/proof.py
+++ b/heronreel/routes/proof.py
@@ -6,8 +6,8 @@
 
 Two times decide most of it.  The first attempt reaches its group at 0 ms at the earliest.  A further one is
 decided at the latest when all before it have run to their time-out and all pauses are over, its connection
-takes `connect_timeout_ms` at most and no longer than the deadline, and a busy process writes
-`clock_margin_ms` later at most.
+takes `connect_timeout_ms` at most and no longer than the deadline, and a busy process learns of each end, and
+writes each first byte, `clock_margin_ms` later at most.
 """
 
 from __future__ import annotations
@@ -122,7 +122,7 @@
     for attempt in range(policy.attempts):
         at += policy.backoff_before(attempt)
         latest.append(min(at + limits.connect_timeout_ms, policy.deadline_ms) + limits.clock_margin_ms)
-        at = min(at + span, policy.deadline_ms)
+        at = min(at + span + limits.clock_margin_ms, policy.deadline_ms)
     return latest
 
 
