--- /dev/null
+++ b/bench/added_cost.py
@@ -0,0 +1,110 @@
+"""What a file in force adds to a request, as a ratio of processor time within one run.
+
+    .venv-cli/bin/python bench/added_cost.py [--seconds 4] [--routes 1000]
+
+Plays the decisions and the lookup of a request in process, in turns: the platform's way (a class from the
+path, one Balancer) and the routes' way (lookup, policy, Pools), on the same backends, both served at once.
+"""
+
+from __future__ import annotations
+
+import argparse
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).parent.parent))
+
+from flintplank import interface as api
+from flintplank.choice import Balancer
+from flintplank.pools import Pools
+from heronreel.routes.load import load
+from heronreel.serve.policies import Router, members_of, settings_of
+
+BATCH = 2000
+
+
+def text_of(routes: int) -> str:
+    members = "".join(
+        f'[[pools.members]]\nname = "n{n}"\naddress = "127.0.0.1:{9000 + n}"\nrack = "r{n % 4}"\n'
+        for n in range(24)
+    )
+    body = 'window_ms = 5000\nattempts = 2\nattempt_timeout_ms = 900\n'
+    body += 'retry_on = ["not-run", "timeout"]\npool = "p"\n'
+    tables = "".join(
+        f'[[routes]]\nname = "r{n}"\nmatch = {{ path_prefix = "/r{n}", methods = ["POST"] }}\n'
+        f'effect = "keyed"\n{body}'
+        for n in range(routes)
+    )
+    return f'[[pools]]\nname = "p"\n{members}[defaults]\ndeadline_ms = 2500\naim_ms = 500\n{tables}'
+
+
+class Way:
+    """One way through the decisions; `ask` plays one request from head to served."""
+
+    def __init__(self, decisions: Balancer | Pools, arrival: Callable[[int], api.Arrival], pool: str) -> None:
+        self.decisions, self.arrival = decisions, arrival
+        self.number, self.now, self.spent = 0, 1000.0, 0.0
+        infos = [api.BackendInfo(n, cell=n % 4, pool=pool) for n in range(24)]
+        decisions.handle(self.now, api.BackendList(api.ListKind.CACHED, infos))
+
+    def batch(self) -> None:
+        began = time.process_time()
+        for _ in range(BATCH):
+            self.number += 1
+            self.now += 3.0
+            if not self.number % 67:
+                self.tick()
+            for action in self.decisions.handle(self.now, self.arrival(self.number)):
+                if isinstance(action, api.StartAttempt):
+                    ended = api.AttemptEnded(
+                        action.request, 0, action.backend, api.Outcome.SERVED, 60.0, True
+                    )
+                    self.decisions.handle(self.now, ended)
+        self.spent += time.process_time() - began
+
+    def tick(self) -> None:
+        token = max(self.decisions.timers, default=0) if isinstance(self.decisions, Pools) else 0
+        self.decisions.handle(self.now, api.TimerFired(token))
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
+    parser.add_argument("--seconds", type=float, default=4.0)
+    parser.add_argument("--routes", type=int, default=1000)
+    told = parser.parse_args()
+    file = load(text_of(told.routes).encode())
+    settings, router = settings_of(file), Router(file)
+    assert len(members_of(file).entries) == 24
+    names = [f"r{n}".encode() for n in range(told.routes)]
+    classes = {klass.name: klass for klass in settings.classes}
+    klass = next(iter(classes))
+
+    def plain(number: int) -> api.Arrival:
+        path = b"/%b/x" % names[number % len(names)]
+        classes.get(path.split(b"/")[1].decode())
+        return api.Arrival(number, klass, 2500.0, hint_ms=60.0)
+
+    def routed(number: int) -> api.Arrival:
+        path = b"/%b/x" % names[number % len(names)]
+        policy = router.find(b"h", path, b"POST", {b"idempotency-key": b"k"})
+        assert policy
+        return api.Arrival(number, policy.klass.name, 2500.0, hint_ms=60.0, policy=policy, repeat_key=number)
+
+    ways = (Way(Balancer(settings, 1), plain, ""), Way(Pools(settings, 1), routed, "p"))
+    until = time.monotonic() + told.seconds
+    while time.monotonic() < until:
+        for way in ways:
+            way.batch()
+    costs = [way.spent / way.number * 1e6 for way in ways]
+    print(f"decisions and lookup of a request, {told.routes:,} routes, {ways[0].number:,} requests each way")
+    print(
+        f"platform's way {costs[0]:6.1f} us, routes' way {costs[1]:6.1f} us, ratio {costs[1] / costs[0]:.2f}"
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/start_memory.py
@@ -0,0 +1,44 @@
+"""Resident memory of the platform's program after its imports, here and in another checkout, and of `serve`.
+
+    .venv-cli/bin/python bench/start_memory.py [OTHER_CHECKOUT]
+
+Medians of nine processes each, in turns; a difference under 0.1 MB is noise.
+"""
+
+from __future__ import annotations
+
+import statistics
+import subprocess
+import sys
+from pathlib import Path
+
+HERE = Path(__file__).parent.parent
+ROUNDS = 9
+TELL = "\nimport gc; gc.collect()\nprint(open('/proc/self/status').read().split('VmRSS:')[1].split()[0])"
+
+
+def resident(folder: Path, module: str) -> int:
+    done = subprocess.run(
+        [sys.executable, "-c", f"import {module}{TELL}"],
+        cwd=folder,
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    return int(done.stdout)
+
+
+def main() -> None:
+    rows = [("run, here", HERE, "dykemux.__main__"), ("serve, here", HERE, "heronreel.serve.program")]
+    if len(sys.argv) > 1:
+        rows.insert(0, ("run, other", Path(sys.argv[1]), "dykemux.__main__"))
+    seen: dict[str, list[int]] = {name: [] for name, _, _ in rows}
+    for _ in range(ROUNDS):
+        for name, folder, module in rows:
+            seen[name].append(resident(folder, module))
+    for name, values in seen.items():
+        print(f"{name:12} {statistics.median(values) / 1024:6.2f} MB")
+
+
+if __name__ == "__main__":
+    main()
--- a/dykemux/backends.py
+++ b/dykemux/backends.py
@@ -55,6 +55,7 @@
     name: str
     address: tuple[str, int]
     since_ms: float
+    pool: str = ""
     listed: bool = True
     told_off_at: float = 0.0  # when its leave was told, if it is not listed
     out: int = 0  # attempts that have not ended
--- a/dykemux/http1.py
+++ b/dykemux/http1.py
@@ -111,6 +111,8 @@
         self.second, self.count, self.dropped = 0, 0, 0
 
     def filter(self, record: logging.LogRecord) -> bool:
+        if getattr(record, "always", False):  # what an operator asked for, and waits to hear of
+            return True
         second = int(time.monotonic())
         if second != self.second:
             if self.dropped:
--- a/dykemux/proxy.py
+++ b/dykemux/proxy.py
@@ -109,6 +109,7 @@
         self.names: set[bytes] = set()  # of the same requests
         self.budget = Budget(config.body_bytes)
         self.last_ident = 0
+        self.listed = config.listed  # a file's members beside discovery's, if there are any
         self.events: deque[api.Event] = deque()
         self.telling = False
         self.decided = 0.0  # when the module was last asked
@@ -125,7 +126,7 @@
         if self.discovery and config.discovery:
             self.discovery.move(config.discovery)
         if config.listed:
-            self._take_list(config.known, api.ListKind.FULL)
+            self._take_list(config.known, api.ListKind.FULL, True)
 
     def _settle(self, settings: api.Settings) -> None:
         self.settings = settings
@@ -309,12 +310,20 @@
         else:
             self._take_list(members, api.ListKind.FULL if members.whole else api.ListKind.CHANGES)
 
-    def _take_list(self, members: Members, kind: api.ListKind) -> None:
+    def _take_list(self, members: Members, kind: api.ListKind, of_file: bool = False) -> None:
         infos = [self._take(member) for member in members.entries]
         if members.whole:
             up = {info.backend for info in infos}
             for node in [node for node in self.nodes.values() if node.number not in up]:
-                self._tell_off(node)
+                if self.listed:
+                    # a file's list says nothing of discovery's members, nor discovery's of the file's
+                    if (node.pool != "") == (of_file):
+                        infos.append(api.BackendInfo(node.number, api.State.GONE, pool=node.pool))
+                        self._tell_off(node)
+                else:
+                    self._tell_off(node)
+        if self.listed and kind is api.ListKind.FULL:
+            kind = api.ListKind.CHANGES
         self.tell(api.BackendList(kind, infos))
 
     def _take(self, member: Member) -> api.BackendInfo:
@@ -329,7 +338,7 @@
                 self._tell_off(node)
         elif node is None:
             self.numbers[member.name] = number
-            self.nodes[number] = Node(number, member.name, member.address, member.since_ms)
+            self.nodes[number] = Node(number, member.name, member.address, member.since_ms, member.pool)
         else:
             node.listed = True
             if (node.address, node.since_ms) != (member.address, member.since_ms):
--- a/flintplank/choice.py
+++ b/flintplank/choice.py
@@ -502,8 +502,10 @@
 
     def _choose(self, now: float, request: Request, ran: Attempt | None) -> Backend | None:
         policy = request.policy
-        if policy and request.attempts and request.last not in policy.retry_on:
-            return None
+        if policy and request.attempts:
+            unpaused = policy.pause_before(len(request.attempts)) and not request.paused
+            if unpaused or request.last not in policy.retry_on:
+                return None
         if not self._may_send(now, request, ran):
             return None
         if ran is None:
--- a/flintplank/pools.py
+++ b/flintplank/pools.py
@@ -44,7 +44,7 @@
         self.books = RouteBooks()
         self.balancers: dict[str, Balancer] = {}
         self.lives: dict[int, Life] = {}
-        self.timers: dict[int, tuple[str, int]] = {}
+        self.timers: dict[int, tuple[str, Balancer, int]] = {}  # each ends when it fires
         self.last_timer = 0
         self.actions: list[api.Action] = []
 
@@ -56,12 +56,15 @@
             case api.AttemptEnded():
                 self._attempt_ended(now_ms, event)
             case api.TimerFired():
-                pool, token = self.timers.pop(event.token)
-                self._tell(now_ms, pool, api.TimerFired(token))
+                pool, balancer, token = self.timers.pop(event.token)
+                if self.balancers.get(pool) is balancer:  # else the pool has gone, and may have come again
+                    self._tell(now_ms, pool, api.TimerFired(token))
             case api.BackendList():
                 self._list(now_ms, event)
             case api.NewSettings():
                 self.settings = event.settings
+                for name in [name for name in self.balancers if self._is_over(name)]:
+                    del self.balancers[name]
                 for name in self.balancers:
                     self._tell(now_ms, name, api.NewSettings(self._settings_of(name)))
             case api.ClientGone():
@@ -73,6 +76,11 @@
     def _settings_of(self, pool: str) -> api.Settings:
         return self.settings if pool == self.discovered else replace(self.settings, watch_list=False)
 
+    def _is_over(self, name: str) -> bool:
+        """A pool that no file names any more, once its last request has ended."""
+        pool = self.balancers[name]
+        return name != self.discovered and not (pool.backends or pool.requests or pool.sent)
+
     def _list(self, now: float, news: api.BackendList) -> None:
         if news.kind is api.ListKind.FAILED:
             self._tell(now, self.discovered, news)
@@ -98,7 +106,7 @@
             match action:
                 case api.SetTimer(token, delay_ms):
                     self.last_timer += 1
-                    self.timers[self.last_timer] = (pool, token)
+                    self.timers[self.last_timer] = (pool, self.balancers[pool], token)
                     self.actions.append(api.SetTimer(self.last_timer, delay_ms))
                 case api.StartAttempt(ident):
                     life = self.lives[ident]
--- a/heronreel/serve/program.py
+++ b/heronreel/serve/program.py
@@ -21,6 +21,8 @@
 from heronreel.routes.proof import Finding, Report, check
 from heronreel.serve.policies import Router, config_of, discovered_pool, settings_of
 
+ALWAYS = {"always": True}  # no limit of lines a second drops it
+
 log = logging.getLogger(__name__)
 
 
@@ -129,9 +131,10 @@
         for finding in report.findings[:4]:
             log.error("reload: %s:%s", server.path, finding.problem)
         if report.safe:
-            log.info("reload: done, %d routes", len(server.file.routes))
+            log.info("reload: done, %d routes", len(server.file.routes), extra=ALWAYS)
         else:
-            log.error("reload: %d findings; the old file stays in force", len(report.findings))
+            words = "reload: %d findings; the old file stays in force"
+            log.error(words, len(report.findings), extra=ALWAYS)
 
 
 def main(path: str) -> int:
--- /dev/null
+++ b/tests/serving.py
@@ -0,0 +1,87 @@
+"""`heronreel serve` in a process of its own, on a file that a test writes."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import re
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+from tests.loopback import ROOT, answer_of
+
+
+class Served:
+    def __init__(self, path: Path, process: asyncio.subprocess.Process) -> None:
+        self.path, self.process = path, process
+        self.ports: dict[str, int] = {}
+        self.lines: list[str] = []
+
+    async def log_line(self, word: str) -> str:
+        assert self.process.stderr
+        while word not in (line := (await self.process.stderr.readline()).decode()):
+            self.lines.append(line)
+            assert line, f"the log ended without {word!r}: {''.join(self.lines[-5:])}"
+        return line
+
+    async def connect(self, listener: str = "in") -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        return await asyncio.open_connection("127.0.0.1", self.ports[listener])
+
+    async def ask(self, data: bytes) -> tuple[str, bytes]:
+        reader, writer = await self.connect()
+        writer.write(data)
+        answer = await answer_of(reader)
+        writer.close()
+        return answer
+
+    def signal(self, number: int) -> None:
+        self.process.send_signal(number)
+
+
+@asynccontextmanager
+async def served(folder: Path, text: str) -> AsyncIterator[Served]:
+    path = folder / "routes.toml"
+    path.write_text(text)
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "heronreel.cli", "serve", str(path),
+        cwd=ROOT, env=dict(os.environ), stderr=asyncio.subprocess.PIPE,
+    )  # fmt: skip
+    made = Served(path, process)
+    try:
+        for _ in range(text.count("[[listeners]]")):
+            found = re.search(r"listening on \S+:(\d+) for (\S+)", await made.log_line("listening"))
+            assert found
+            made.ports[found[2]] = int(found[1])
+        yield made
+    finally:
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+
+
+def file_of(*routes: str, more: str = "", **pools: list[tuple[str, str]]) -> str:
+    """A file: `pools` by name, each a list of address and rack; `routes` are the bodies of tables."""
+    parts = [
+        "[proxy]\nsecond_copies = true\nconnect_timeout_ms = 200\nclient_wait_ms = 20000\n",
+        more or '[[listeners]]\nname = "in"\naddress = "127.0.0.1:0"\n',
+    ]
+    for name, members in pools.items():
+        parts.append(f'[[pools]]\nname = "{name}"\n')
+        for number, (address, rack) in enumerate(members):
+            parts.append(f'[[pools.members]]\nname = "m{number}"\naddress = "{address}"\nrack = "{rack}"\n')
+    parts += [f"[[routes]]\n{body}\n" for body in routes]
+    return "\n".join(parts)
+
+
+def post(path: str, key: str = "", ident: str = "", extra: str = "") -> bytes:
+    lines = [f"POST {path} HTTP/1.1", "Host: h", "Content-Length: 4"]
+    lines += [f"Idempotency-Key: {key}"] if key else []
+    lines += [f"X-Request-Id: {ident}"] if ident else []
+    return ("\r\n".join(lines) + f"\r\n{extra}\r\n").encode() + b"ride"
+
+
+def get(path: str, ident: str = "", extra: str = "") -> bytes:
+    named = f"X-Request-Id: {ident}\r\n" if ident else ""
+    return f"GET {path} HTTP/1.1\r\nHost: h\r\n{named}{extra}\r\n".encode()
--- /dev/null
+++ b/tests/test_policies.py
@@ -0,0 +1,451 @@
+"""The module under route policies, event by event: pauses, copies, budgets, limits, splits."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from flintplank import interface as api
+from flintplank.pools import Pools
+from flintplank.routes import SAMPLES_LEAST, Latencies, RouteBooks
+
+KEYED = api.RequestClass(
+    "save", 500.0, 2500.0, effect=api.Effect.KEYED, scope=api.DedupScope.CELL, repeat_window_ms=5000.0
+)
+SAFE = api.RequestClass("read", 500.0, 2500.0, effect=api.Effect.IDEMPOTENT)
+UNSAFE = api.RequestClass("pay", 500.0, 2500.0)
+ANY = frozenset(api.Outcome)
+SETTINGS = api.Settings(
+    (KEYED, SAFE, UNSAFE),
+    max_attempts=4,
+    second_copies=True,
+    connect_timeout_ms=100.0,
+    max_retry_after_ms=1000.0,
+)
+SAVE = api.RoutePolicy("save", KEYED, 3, retry_on=ANY, split=(("a", 1.0),))
+READ = api.RoutePolicy(
+    "read", SAFE, 3, retry_on=ANY, retry_in_group=False, copy_in_group=False, split=(("a", 1.0),)
+)
+PAY = api.RoutePolicy("pay", UNSAFE, 3, split=(("a", 1.0),))
+
+
+class Driver:
+    """Hands events over and keeps what came back."""
+
+    def __init__(self, *infos: api.BackendInfo, settings: api.Settings = SETTINGS, seed: int = 1) -> None:
+        self.pools = Pools(settings, seed)
+        self.now = 1000.0
+        self.sent: dict[int, list[api.StartAttempt]] = {}
+        self.finals: dict[int, api.Action] = {}
+        self.timers: list[tuple[float, int]] = []
+        self.idents = 0
+        self.tell(api.BackendList(api.ListKind.CACHED, list(infos)))
+
+    def tell(self, event: api.Event) -> list[api.Action]:
+        actions = self.pools.handle(self.now, event)
+        for action in actions:
+            if isinstance(action, api.StartAttempt):
+                self.sent.setdefault(action.request, []).append(action)
+            elif isinstance(action, api.SetTimer):
+                self.timers.append((self.now + action.delay_ms, action.token))
+            elif isinstance(action, api.Refuse | api.Fail):
+                assert action.request not in self.finals, "two final answers"
+                self.finals[action.request] = action
+        return actions
+
+    def ask(self, policy: api.RoutePolicy, left: float = 2500.0, key: int | None = None) -> int:
+        self.idents += 1
+        self.sent[self.idents] = []
+        self.tell(api.Arrival(self.idents, policy.klass.name, left, policy=policy, repeat_key=key))
+        return self.idents
+
+    def end(
+        self, ident: int, outcome: api.Outcome, attempt: int = -1, took: float = 10.0, over: bool = False
+    ) -> None:
+        number = attempt % len(self.sent[ident])
+        backend = self.sent[ident][number].backend
+        over = over or outcome is api.Outcome.SERVED
+        self.tell(api.AttemptEnded(ident, number, backend, outcome, took, over))
+
+    def to(self, ident: int) -> list[int]:
+        return [action.backend for action in self.sent[ident]]
+
+    def run_to(self, now: float) -> None:
+        while self.timers and min(self.timers)[0] <= now:
+            at, token = min(self.timers)
+            self.timers.remove((at, token))
+            self.now = max(self.now, at)
+            self.tell(api.TimerFired(token))
+        self.now = now
+
+    def wait(self, span: float) -> None:
+        self.run_to(self.now + span)
+
+
+def backends(count: int, pool: str = "a", cells: int = 2, first: int = 0) -> list[api.BackendInfo]:
+    return [api.BackendInfo(first + n, zone=f"z{n}", cell=n % cells, pool=pool) for n in range(count)]
+
+
+def test_an_attempt_has_its_time_out_and_a_repeat_the_end_of_its_window() -> None:
+    host = Driver(*backends(4))
+    ident = host.ask(replace(SAVE, attempt_timeout_ms=350.0))
+    assert host.sent[ident][0].timeout_ms == 350.0 and host.sent[ident][0].within_ms == 0.0
+    host.wait(350.0)
+    host.end(ident, api.Outcome.TIMEOUT, took=350.0)
+    assert host.sent[ident][1].within_ms == 4650.0
+    first, second = host.to(ident)
+    assert first % 2 == second % 2  # the same cell
+
+
+def test_only_the_outcomes_named_are_worth_a_retry() -> None:
+    host = Driver(*backends(4))
+    policy = replace(READ, retry_on=frozenset((api.Outcome.ERROR,)))
+    ident = host.ask(policy)
+    host.end(ident, api.Outcome.ERROR)
+    assert len(host.sent[ident]) == 2
+    host.end(ident, api.Outcome.RESET)
+    assert len(host.sent[ident]) == 2 and isinstance(host.finals[ident], api.Fail)
+    never_ran = host.ask(policy)
+    host.end(never_ran, api.Outcome.REJECTED)
+    assert isinstance(host.finals[never_ran], api.Refuse)
+
+
+def test_an_unsafe_request_is_tried_again_only_while_nothing_ran() -> None:
+    host = Driver(*backends(4))
+    ident = host.ask(PAY)
+    host.end(ident, api.Outcome.REJECTED)
+    host.end(ident, api.Outcome.UNREACHABLE)
+    host.end(ident, api.Outcome.RESET)
+    assert len(host.sent[ident]) == 3 and isinstance(host.finals[ident], api.Fail)
+    loose = host.ask(replace(PAY, retry_on=ANY))  # whatever a policy says
+    host.end(loose, api.Outcome.TIMEOUT)
+    assert len(host.sent[loose]) == 1 and isinstance(host.finals[loose], api.Fail)
+
+
+def test_a_pause_doubles_and_delays_only_what_goes_on() -> None:
+    host = Driver(*backends(6))
+    ident = host.ask(replace(READ, max_attempts=4, backoff_ms=100.0, backoff_most_ms=150.0))
+    for pause in (100.0, 150.0, 150.0):
+        count = len(host.sent[ident])
+        host.end(ident, api.Outcome.ERROR)
+        host.wait(pause - 1.0)
+        assert len(host.sent[ident]) == count
+        host.wait(2.0)
+        assert len(host.sent[ident]) == count + 1
+    host.end(ident, api.Outcome.ERROR)
+    assert isinstance(host.finals[ident], api.Fail)  # no attempt is left: at once
+
+
+@pytest.mark.parametrize(
+    ("policy", "left"),
+    [
+        (replace(READ, backoff_ms=100.0), 90.0),  # past the deadline
+        (replace(SAVE, backoff_ms=4950.0, backoff_most_ms=4950.0), 9000.0),  # past the window
+        (replace(READ, backoff_ms=100.0, max_attempts=1), 2500.0),  # no attempt left
+        (replace(READ, backoff_ms=100.0, retry_share=0.0), 2500.0),  # no budget
+        (replace(PAY, backoff_ms=100.0, retry_on=ANY), 2500.0),  # unsafe
+    ],
+)
+def test_no_pause_before_what_could_not_follow_it(policy: api.RoutePolicy, left: float) -> None:
+    """What the module has given up on is answered at once."""
+    host = Driver(*backends(4))
+    ident = host.ask(policy, left)
+    host.end(ident, api.Outcome.ERROR)
+    assert isinstance(host.finals[ident], api.Fail)
+
+
+def test_a_pause_told_late_sends_nothing_past_the_window() -> None:
+    host = Driver(*backends(4))
+    ident = host.ask(replace(SAVE, backoff_ms=100.0), 60_000.0)
+    host.end(ident, api.Outcome.RESET)
+    host.now += 5000.0  # the event loop stood still
+    host.run_to(host.now)
+    assert len(host.sent[ident]) == 1 and isinstance(host.finals[ident], api.Fail)
+
+
+def test_a_client_that_leaves_in_a_pause_ends_it() -> None:
+    host = Driver(*backends(4))
+    ident = host.ask(replace(READ, backoff_ms=100.0))
+    host.end(ident, api.Outcome.ERROR)
+    host.tell(api.ClientGone(ident))
+    host.wait(500.0)
+    assert len(host.sent[ident]) == 1 and not host.finals and not host.pools.lives
+
+
+COPY = replace(SAVE, copy_after_ms=50.0)
+
+
+def test_a_second_copy_stays_in_its_group_and_off_its_backend() -> None:
+    host = Driver(*backends(6))
+    ident = host.ask(COPY)
+    host.wait(51.0)
+    first, second = host.to(ident)
+    assert first != second and first % 2 == second % 2
+    host.wait(500.0)
+    assert len(host.sent[ident]) == 2  # one copy, no more
+
+
+def test_the_first_good_answer_wins_and_nothing_follows_the_loser() -> None:
+    for winner, loser in ((0, 1), (1, 0)):
+        host = Driver(*backends(6))
+        ident = host.ask(COPY)
+        host.wait(51.0)
+        host.end(ident, api.Outcome.SERVED, winner)
+        host.end(ident, api.Outcome.SERVED, loser)  # its answer is thrown away by the host
+        assert not host.finals and not host.pools.lives and len(host.sent[ident]) == 2
+
+
+def test_while_a_copy_is_out_a_failure_decides_nothing() -> None:
+    for order in ((0, 1), (1, 0)):
+        host = Driver(*backends(6))
+        ident = host.ask(COPY)
+        host.wait(51.0)
+        host.end(ident, api.Outcome.ERROR, order[0])
+        assert len(host.sent[ident]) == 2 and not host.finals
+        host.end(ident, api.Outcome.RESET, order[1])
+        assert len(host.sent[ident]) == 3  # two attempts and a copy are the three allowed
+        host.end(ident, api.Outcome.ERROR)
+        assert isinstance(host.finals[ident], api.Fail)
+
+
+def test_an_answer_in_the_same_turn_as_the_copys_start() -> None:
+    for answer_first in (True, False):
+        host = Driver(*backends(6))
+        ident = host.ask(COPY)
+        (token,) = [token for at, token in host.timers if at == host.now + 50.0]
+        host.now += 50.0
+        if answer_first:
+            host.end(ident, api.Outcome.SERVED)
+        host.tell(api.TimerFired(token))
+        if not answer_first:
+            host.end(ident, api.Outcome.SERVED, 0)
+            host.end(ident, api.Outcome.SERVED, 1)
+        assert len(host.sent[ident]) == (1 if answer_first else 2)
+        assert not host.finals and not host.pools.lives
+
+
+def test_a_drain_stops_the_copy() -> None:
+    infos = backends(4)  # cells 0 and 1, two backends each
+    host = Driver(*infos)
+    ident = host.ask(COPY)
+    (first,) = host.to(ident)
+    gone = [replace(i, state=api.State.DRAINING) for i in infos if i.backend != first and i.cell == first % 2]
+    host.tell(api.BackendList(api.ListKind.CHANGES, gone))
+    host.wait(100.0)
+    assert host.to(ident) == [first]
+
+
+def test_no_copy_once_the_first_has_ended_or_where_none_is_allowed() -> None:
+    host = Driver(*backends(6))
+    retried = host.ask(COPY)
+    host.end(retried, api.Outcome.ERROR)
+    host.wait(100.0)
+    assert len(host.sent[retried]) == 2  # the retry
+    for policy in (
+        replace(COPY, max_attempts=1),
+        replace(COPY, retry_share=0.0),
+        replace(PAY, copy_after_ms=50.0),
+    ):
+        ident = host.ask(policy)
+        host.wait(100.0)
+        assert len(host.sent[ident]) == 1
+    host = Driver(*backends(6), settings=replace(SETTINGS, second_copies=False))
+    ident = host.ask(COPY)
+    host.wait(100.0)
+    assert len(host.sent[ident]) == 1
+
+
+def test_a_percentile_without_samples_sends_no_copy() -> None:
+    host = Driver(*backends(6))
+    policy = replace(READ, copy_percentile=90.0)
+    for _ in range(SAMPLES_LEAST):
+        assert [at for at, _ in host.timers if at > host.now + 300.0] == []
+        ident = host.ask(policy)
+        host.wait(5.0)
+        assert len(host.sent[ident]) == 1
+        host.end(ident, api.Outcome.SERVED, took=20.0)
+    ident = host.ask(policy)
+    host.wait(25.0)  # 20 ms is the percentile, to 10 %
+    assert len(host.sent[ident]) == 2
+
+
+def test_percentiles_are_right_within_a_bucket_and_forget() -> None:
+    seen = Latencies()
+    for value in range(1, 1001):
+        seen.add(float(value))
+    for percent in (50.0, 90.0, 99.0):
+        found = seen.percentile(percent)
+        assert found and percent * 10.0 <= found <= percent * 11.1
+    for _ in range(20_000):
+        seen.add(5.0)
+    found = seen.percentile(99.0)
+    assert found and 5.0 <= found < 5.6
+    assert seen.total < 2000.0
+
+
+def test_copies_and_retries_share_one_budget() -> None:
+    host = Driver(*backends(8))
+    for _ in range(200):
+        ident = host.ask(replace(READ, retry_share=0.1))
+        while ident not in host.finals:
+            host.end(ident, api.Outcome.ERROR)
+    repeats = sum(len(sent) - 1 for sent in host.sent.values())
+    assert repeats <= 10 + 200 * 0.1 and repeats >= 25
+
+
+def test_concurrency_and_rate_turn_away_with_advice() -> None:
+    host = Driver(*backends(4))
+    policy = replace(READ, concurrency=2)
+    one, two, three = (host.ask(policy) for _ in range(3))
+    assert isinstance(host.finals[three], api.Refuse) and not host.sent[three]
+    host.end(one, api.Outcome.SERVED)
+    assert host.sent[host.ask(policy)]
+    host.tell(api.ClientGone(two))  # what is out still runs, but the request is over
+    assert host.sent[host.ask(policy)]
+
+    host = Driver(*backends(4))
+    policy = replace(READ, requests_per_s=10.0)
+    idents = [host.ask(policy) for _ in range(11)]
+    assert [ident in host.finals for ident in idents] == [False] * 10 + [True]
+    refusal = host.finals[idents[-1]]
+    assert isinstance(refusal, api.Refuse) and refusal.retry_after_ms == pytest.approx(100.0)
+    host.wait(101.0)
+    assert host.sent[host.ask(policy)]
+
+
+def test_a_split_is_kept_by_weight_and_a_keys_pool_by_key() -> None:
+    host = Driver(*backends(4), *backends(4, "b", first=10))
+    split = (("a", 3.0), ("b", 1.0))
+    count = 0
+    for _ in range(400):
+        ident = host.ask(replace(READ, split=split))
+        count += host.to(ident)[0] >= 10
+        host.end(ident, api.Outcome.SERVED)
+    assert 60 < count < 140
+    keyed = replace(SAVE, split=split)
+    first = {}
+    for key in range(300):
+        first[key] = host.to(host.ask(keyed, key=key))[0] >= 10
+    assert 40 < sum(first.values()) < 110
+    assert all((host.to(host.ask(keyed, key=key))[0] >= 10) == was for key, was in first.items())
+    moved = replace(SAVE, split=(("a", 2.0), ("b", 1.0)))  # few keys move, and only towards what gained
+    after = {key: host.to(host.ask(moved, key=key))[0] >= 10 for key in first}
+    assert all(after[key] for key, was in first.items() if was)
+    assert 0 < sum(after.values()) - sum(first.values()) < 60
+
+
+def test_pools_that_share_a_rack_in_part_keep_a_repeat_where_it_began() -> None:
+    """a has cells 0 and 1, b has cells 1 and 2: a repeat stays in the cell and in the pool of its first."""
+    b = [api.BackendInfo(10 + n, cell=1 + n % 2, pool="b") for n in range(4)]
+    for seed in range(10):
+        host = Driver(*backends(4), *b, seed=seed)
+        ident = host.ask(replace(SAVE, split=(("a", 1.0), ("b", 1.0))), key=seed)
+        for _ in range(2):
+            host.end(ident, api.Outcome.RESET)
+        cells = {(info.pool, info.cell) for info in (*backends(4), *b) if info.backend in host.to(ident)}
+        assert len(host.to(ident)) == 3 and len(cells) == 1
+
+
+def test_what_a_pool_refuses_goes_to_the_next_where_the_route_allows() -> None:
+    split = (("a", 1.0), ("b", 1.0))
+    host = Driver(*backends(1), *backends(1, "b", first=10))
+    ident = host.ask(replace(READ, spills=True, split=split))
+    host.end(ident, api.Outcome.REJECTED)  # the only one of its pool
+    host.end(ident, api.Outcome.REJECTED)
+    assert sorted(host.to(ident)) == [0, 10] and isinstance(host.finals[ident], api.Refuse)
+    assert not host.pools.lives
+    stays = host.ask(replace(READ, split=split))
+    host.end(stays, api.Outcome.REJECTED)
+    assert len(host.to(stays)) == 1 and isinstance(host.finals[stays], api.Refuse)
+
+
+def test_attempts_are_counted_over_all_pools() -> None:
+    split = (("a", 1.0), ("b", 1.0), ("c", 1.0))
+    infos = [info for n, pool in enumerate("abc") for info in backends(3, pool, first=10 * n)]
+    host = Driver(*infos)
+    ident = host.ask(replace(READ, max_attempts=4, spills=True, split=split))
+    while ident not in host.finals:
+        host.end(ident, api.Outcome.REJECTED)
+    assert len(host.to(ident)) == 4
+
+
+def test_an_empty_or_unknown_pool_refuses() -> None:
+    host = Driver(*backends(2))
+    for split in ((("none", 1.0),), (("a", 0.0),)):
+        ident = host.ask(replace(READ, split=split))
+        assert isinstance(host.finals[ident], api.Refuse)
+    host.tell(api.BackendList(api.ListKind.FULL, []))
+    ident = host.ask(READ)
+    assert isinstance(host.finals[ident], api.Refuse) and not host.pools.lives
+
+
+def test_one_pools_jam_refuses_nothing_of_anothers() -> None:
+    host = Driver(*backends(2), *backends(2, "b", first=10))
+    jam = replace(READ, max_attempts=1)
+    for _ in range(400):  # nothing of a ever ends
+        host.ask(jam)
+        host.wait(10.0)
+    free = replace(READ, route="free", split=(("b", 1.0),), max_attempts=1)
+    for _ in range(50):
+        ident = host.ask(free)
+        assert host.sent[ident]
+        host.wait(10.0)
+        host.end(ident, api.Outcome.SERVED)
+
+
+def test_books_end_with_their_routes() -> None:
+    books = RouteBooks()
+    for number in range(50):
+        assert books.admit(0.0, replace(READ, route=f"r{number}")) is None
+    for number in range(49):
+        books.over(replace(READ, route=f"r{number}"))
+    books.keep(["r0"])
+    assert set(books.books) == {"r0", "r49"}  # the one still has a request under way
+
+
+def test_time_outs_of_a_routes_own_tell_of_a_backend() -> None:
+    """A time-out shorter than the aim counts against a backend when the route, not the client, set it."""
+    host = Driver(*backends(8), settings=replace(SETTINGS, max_attempts=1))
+    policy = replace(READ, attempt_timeout_ms=100.0, max_attempts=1)
+    counts = [0] * 8
+    for _ in range(400):
+        ident = host.ask(policy)
+        if not host.sent[ident]:
+            continue
+        (to,) = host.to(ident)
+        counts[to] += 1
+        slow = to == 1
+        host.wait(30.0)
+        host.end(ident, api.Outcome.TIMEOUT if slow else api.Outcome.SERVED, took=100.0 if slow else 30.0)
+    assert counts[1] * 3 < counts[0]
+
+
+def test_same_events_give_same_actions() -> None:
+    logs = []
+    for _ in range(2):
+        host = Driver(*backends(4), *backends(4, "b", first=10), seed=7)
+        for n in range(60):
+            ident = host.ask(replace(READ, copy_after_ms=15.0, split=(("a", 1.0), ("b", 2.0))))
+            host.wait(20.0)
+            host.end(ident, api.Outcome.SERVED if n % 3 else api.Outcome.ERROR, 0, over=True)
+        logs.append(host.sent)
+    assert logs[0] == logs[1]
+
+
+def test_pools_that_are_gone_end_and_may_come_again() -> None:
+    host = Driver(*backends(2))
+    for turn in range(20):
+        name = f"p{turn % 3}"
+        host.tell(api.BackendList(api.ListKind.CHANGES, backends(2, name, first=10)))
+        policy = replace(READ, split=((name, 1.0),))
+        ident = host.ask(policy)
+        gone = [replace(info, state=api.State.GONE) for info in backends(2, name, first=10)]
+        host.tell(api.BackendList(api.ListKind.CHANGES, gone))
+        host.tell(api.NewSettings(SETTINGS))
+        assert name in host.pools.balancers  # its request is still out
+        host.end(ident, api.Outcome.SERVED)
+        host.tell(api.NewSettings(SETTINGS))
+        assert set(host.pools.balancers) == {"a"}
+        host.wait(1000.0)
+    assert len(host.pools.timers) == 1  # the update of the one pool that is left
