--- a/bench/added_cost.py
+++ b/bench/added_cost.py
@@ -30,7 +30,7 @@
         f'[[pools.members]]\nname = "n{n}"\naddress = "127.0.0.1:{9000 + n}"\nrack = "r{n % 4}"\n'
         for n in range(24)
     )
-    body = 'window_ms = 5000\nattempts = 2\nattempt_timeout_ms = 900\n'
+    body = "window_ms = 5000\nattempts = 2\nattempt_timeout_ms = 900\n"
     body += 'retry_on = ["not-run", "timeout"]\npool = "p"\n'
     tables = "".join(
         f'[[routes]]\nname = "r{n}"\nmatch = {{ path_prefix = "/r{n}", methods = ["POST"] }}\n'
--- /dev/null
+++ b/bench/request_cost.py
@@ -0,0 +1,148 @@
+"""What a file in force adds to a whole request over sockets: the proxy's processor time, a ratio in one run.
+
+    .venv-cli/bin/python bench/request_cost.py [--rounds 6] [--routes 1000]
+
+The platform's program and `heronreel serve` stand side by side before the same stand-in servers and get the
+same requests, in turns, on 16 kept connections each.  Ratios are told by pairs of rounds: noise shows.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import os
+import re
+import socket
+import sys
+import tempfile
+from collections import Counter
+from contextlib import AsyncExitStack
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+sys.path.insert(0, str(ROOT))
+
+from heronreel.standins.client import Clients, Told
+from heronreel.standins.servers import Manners, ProfileNode, Rack
+
+NODES, CONNECTIONS, BATCH = 8, 16, 1500
+CLASS = {
+    "Name": "r7", "OnTimeMs": 500.0, "HardLimitMs": 2500.0, "Effect": "deduplicated", "DedupScope": "cell",
+    "RepeatWindowMs": 5000.0,
+}  # fmt: skip
+
+
+def platform_file(nodes: list[ProfileNode]) -> dict[str, object]:
+    entries = [
+        {
+            "name": n.name,
+            "address": f"{n.address[0]}:{n.address[1]}",
+            "group": 1,
+            "status": "active",
+            "since_ms": 0,
+        }
+        for n in nodes
+    ]
+    return {
+        "seed": "1", "discovery": "127.0.0.1:9", "limits": {"cores": 1.0, "memory_mb": 128, "sockets": 1024},
+        "known": {"index": 1, "snapshot": True, "endpoints": entries},
+        "settings": {"Categories": [CLASS], "Limits": {"MostTries": 2, "ConnectTimeoutMs": 250.0}},
+    }  # fmt: skip
+
+
+def routes_file(nodes: list[ProfileNode], routes: int) -> str:
+    members = "".join(
+        f'[[pools.members]]\nname = "{n.name}"\naddress = "{n.address[0]}:{n.address[1]}"\nrack = "r1"\n'
+        for n in nodes
+    )
+    body = 'window_ms = 5000\nattempts = 2\nattempt_timeout_ms = 900\nretry_on = ["not-run", "timeout"]\n'
+    tables = "".join(
+        f'[[routes]]\nname = "r{n}"\nmatch = {{ path_prefix = "/r{n}", methods = ["POST"] }}\n'
+        f'pool = "p"\neffect = "keyed"\n{body}'
+        for n in range(routes)
+    )
+    listener = '[[listeners]]\nname = "in"\naddress = "127.0.0.1:0"\n'
+    return f'{listener}[[pools]]\nname = "p"\n{members}[defaults]\ndeadline_ms = 2500\naim_ms = 500\n{tables}'
+
+
+def spent(pid: int) -> float:
+    """Processor seconds of a process."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+async def start(words: list[str], env: dict[str, str]) -> tuple[asyncio.subprocess.Process, tuple[str, int]]:
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", *words, cwd=ROOT, env={**os.environ, **env}, stderr=asyncio.subprocess.PIPE
+    )
+    assert process.stderr
+    while line := (await process.stderr.readline()).decode():
+        if found := re.search(r"listening on (\S+):(\d+)", line):
+            return process, (found[1], int(found[2]))
+    raise SystemExit(f"{words[0]} did not start")
+
+
+async def batch(clients: Clients, first: int) -> None:
+    left = iter(range(first, first + BATCH))
+
+    async def ask_on() -> None:
+        for number in left:
+            lines = f"Host: h\r\nX-Request-Id: q{number}\r\nX-Class: r7\r\nIdempotency-Key: k{number}\r\n"
+            lines += "X-Cost-Hint: 5000\r\nContent-Length: 4\r\n"
+            data = f"POST /r7/x{number % 500} HTTP/1.1\r\n{lines}\r\nride"
+            await clients.ask("r7", data.encode())
+
+    await asyncio.gather(*(ask_on() for _ in range(CONNECTIONS)))
+
+
+async def play(rounds: int, routes: int) -> None:
+    async with AsyncExitStack() as stack:
+        folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+        rack, effects = Rack("r1"), Counter[bytes]()
+        nodes = [
+            await stack.enter_async_context(ProfileNode(f"n{n}", rack, Manners(work_s=0.004), effects, n))
+            for n in range(NODES)
+        ]
+        (folder / "config.json").write_text(json.dumps(platform_file(nodes)))
+        (folder / "routes.toml").write_text(routes_file(nodes, routes))
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            port = probe.getsockname()[1]
+        env = {"LB_NAME": "n", "LB_LISTEN": f"127.0.0.1:{port}", "LB_CONFIG": str(folder / "config.json")}
+        ways = []
+        for words, more in (
+            (["dykemux"], env),
+            (["heronreel.cli", "serve", str(folder / "routes.toml")], {}),
+        ):
+            process, address = await start(words, more)
+            stack.callback(process.kill)
+            told = Told()
+            ways.append((process.pid, Clients(address, told), told))
+        costs: list[list[float]] = [[], []]
+        for turn in range(rounds + 1):
+            for place, (pid, clients, _) in enumerate(ways):
+                before = spent(pid)
+                await batch(clients, (2 * turn + place) * BATCH)
+                if turn:  # the first round warms up
+                    costs[place].append((spent(pid) - before) / BATCH * 1e6)
+    for (_, _, told), name, row in zip(ways, ("platform", "routes"), costs, strict=True):
+        mean, served = sum(row) / len(row), f"{told.counts['served']:,} of {told.asked:,} served"
+        print(f"{name:9} {mean:6.0f} us a request ({min(row):.0f} to {max(row):.0f}), {served}")
+    ratios = sorted(two / one for one, two in zip(*costs, strict=True))
+    spread = f"({ratios[0]:.2f} to {ratios[-1]:.2f})"
+    print(f"ratio with {routes:,} routes: median {ratios[len(ratios) // 2]:.2f} {spread}")
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
+    parser.add_argument("--rounds", type=int, default=6)
+    parser.add_argument("--routes", type=int, default=1000)
+    told = parser.parse_args()
+    asyncio.run(play(told.rounds, told.routes))
+
+
+if __name__ == "__main__":
+    main()
--- a/flintplank/pools.py
+++ b/flintplank/pools.py
@@ -177,7 +177,7 @@
         life.may_have_run |= ended.outcome not in api.NEVER_RAN
         if ended.finished and not life.over:
             self._over(ended.request)
-        self._tell(now, pool, replace(ended, attempt=ended.attempt - before))
+        self._tell(now, pool, replace(ended, attempt=ended.attempt - before) if before else ended)
         self._forget(ended.request, life)
 
     def _gone(self, now: float, ident: int) -> None:
--- a/tests/test_serve.py
+++ b/tests/test_serve.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import time
+from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -18,6 +19,7 @@
 from flintplank import interface as api
 from heronreel.routes.load import load
 from heronreel.serve.policies import Router, config_of
+from heronreel.standins.servers import Manners, ProfileNode, Rack
 from tests.loopback import ROOT, Backend, Discovery, answer_of, entry, ok, request_of, run
 from tests.serving import file_of, get, post, served
 
@@ -497,3 +499,109 @@
                     assert (await proxy.ask(get("/read/3")))[0] == "200"
 
     run(talk())
+
+
+def test_a_percentile_without_samples_sends_no_copy(tmp_path: Path) -> None:
+    async def talk() -> None:
+        async with Scripted(None) as one, Scripted(None) as two:
+            nodes = (one, two)
+            route = READ + "second_copy_percentile = 50\n"
+            async with served(tmp_path, file_of(route, p=[(n.address, "r1") for n in nodes])) as proxy:
+                reader, writer = await proxy.connect()
+                writer.write(get("/read/0"))
+                await asyncio.sleep(0.4)  # a copy would be out long since
+                assert len(one.seen + two.seen) == 1
+                for node in nodes:
+                    node.go.set()
+                assert await answer_of(reader) == ("200", b"late")
+                for number in range(25):  # now there are samples, of a few ms
+                    writer.write(get(f"/read/{number}"))
+                    assert (await answer_of(reader))[0] == "200"
+                for node in nodes:
+                    node.answers = [None]
+                    node.go.clear()
+                    node.asked.clear()
+                writer.write(get("/read/last"))
+                await asyncio.gather(one.asked.wait(), two.asked.wait())
+                one.go.set()
+                two.go.set()
+                assert await answer_of(reader) == ("200", b"late")
+
+    run(talk())
+
+
+def test_a_split_over_pools_that_share_a_rack_keeps_a_repeat_in_its_own(tmp_path: Path) -> None:
+    """a has racks r1 and r2, b has r2 and r3; every first try breaks after it ran."""
+
+    async def talk() -> None:
+        nodes = {place: Scripted() for place in ("a1", "a2", "b2", "b3")}
+        async with nodes["a1"], nodes["a2"], nodes["b2"], nodes["b3"]:
+            pools = {
+                pool: [(nodes[pool + rack].address, f"r{rack}") for rack in racks]
+                for pool, racks in (("a", "12"), ("b", "23"))
+            }
+            route = SAVE.replace('pool = "p"', 'split = [{ pool = "a" }, { pool = "b" }]')
+            async with served(tmp_path, file_of(route, a=pools["a"], b=pools["b"])) as proxy:
+                seen: set[str] = set()
+                for number in range(12):
+                    for node in nodes.values():
+                        node.seen, node.answers = [], [GONE]
+                    status, _ = await proxy.ask(post(f"/save/{number}", f"k{number}", f"a{number}"))
+                    asked = [place for place, node in nodes.items() if node.seen]
+                    assert (
+                        len(asked) == 1
+                    )  # a lone server of its rack that rests gets no repeat, and nobody else
+                    assert status == "200" or len(nodes[asked[0]].seen) == 1
+                    seen.update(asked)
+                assert {place[0] for place in seen} == {"a", "b"}
+
+    run(talk())
+
+
+def test_answers_in_the_turn_of_the_copys_start(tmp_path: Path) -> None:
+    """Answers come just as copies go out, again and again: one answer each, and the right one."""
+
+    async def talk() -> None:
+        effects: Counter[bytes] = Counter()
+        rack = Rack("r1")
+        manners = Manners(work_s=0.02)  # 10 to 30 ms; the copy is due after 20
+        async with (
+            ProfileNode("one", rack, manners, effects, 1) as one,
+            ProfileNode("two", rack, manners, effects, 2) as two,
+        ):
+            members = [(f"{host}:{port}", "r1") for host, port in (one.address, two.address)]
+            route = COPY + "retry_budget = 1\n"
+            async with served(tmp_path, file_of(route, p=members)) as proxy:
+                reader, writer = await proxy.connect()
+                for number in range(80):
+                    writer.write(post("/save/1", f"k{number}", extra=f"X-Effect-Id: e{number}\r\n"))
+                    assert await answer_of(reader) == ("200", b"e%d" % number)
+                assert len(effects) == 80 and set(effects.values()) == {1}
+                assert 5 < one.dropped + two.dropped < 75  # copies went out, and not for all
+
+    run(talk())
+
+
+def test_ten_thousand_routes_are_served_and_odd_files_are_not_taken(tmp_path: Path) -> None:
+    async def talk() -> None:
+        async with Scripted() as node:
+            text = file_of(READ, p=[(node.address, "r1")])
+            many = text + "".join(
+                f'[[routes]]\nname = "m{n}"\nmatch = {{ path = "/many/{n}" }}\npool = "p"\n'
+                for n in range(10_000)
+            )
+            async with served(tmp_path, text) as proxy:
+                odd = (b"version = 1\n\0", b"# " + b"x" * (5 << 20), b"x = " + b"[" * 5000, b"\xff")
+                for bad in odd:
+                    proxy.path.write_bytes(bad)
+                    proxy.signal(signal.SIGHUP)
+                    await proxy.log_line("the old file stays in force")
+                    assert (await proxy.ask(get("/read/1")))[0] == "200"
+                proxy.path.write_bytes(b"\xef\xbb\xbf" + many.replace("\n", "\r\n").encode())
+                proxy.signal(signal.SIGHUP)
+                await proxy.log_line("reload: done, 10001 routes")
+                for number in (0, 9999):
+                    assert (await proxy.ask(get(f"/many/{number}")))[0] == "200"
+                assert (await proxy.ask(get("/many/10000")))[0] == "404"
+
+    run(talk())
