--- a/dykemux/proxy.py
+++ b/dykemux/proxy.py
@@ -317,7 +317,7 @@
             for node in [node for node in self.nodes.values() if node.number not in up]:
                 if self.listed:
                     # a file's list says nothing of discovery's members, nor discovery's of the file's
-                    if (node.pool != "") == (of_file):
+                    if (node.pool != "") == of_file:
                         infos.append(api.BackendInfo(node.number, api.State.GONE, pool=node.pool))
                         self._tell_off(node)
                 else:
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -360,6 +360,16 @@
     assert len(host.to(stays)) == 1 and isinstance(host.finals[stays], api.Refuse)
 
 
+def test_what_may_have_run_goes_to_no_other_pool_though_a_refusal_is_due() -> None:
+    host = Driver(*backends(1), *backends(1, "b", first=10))
+    klass = replace(KEYED, scope=api.DedupScope.ALL)
+    never = frozenset(api.NEVER_RAN)
+    policy = replace(SAVE, klass=klass, retry_on=never, spills=True, refuse_exhausted=True)
+    ident = host.ask(replace(policy, split=(("a", 1.0), ("b", 1.0))))
+    host.end(ident, api.Outcome.RESET)
+    assert len(host.to(ident)) == 1 and isinstance(host.finals[ident], api.Refuse)
+
+
 def test_attempts_are_counted_over_all_pools() -> None:
     split = (("a", 1.0), ("b", 1.0), ("c", 1.0))
     infos = [info for n, pool in enumerate("abc") for info in backends(3, pool, first=10 * n)]
--- a/tests/test_serve.py
+++ b/tests/test_serve.py
@@ -87,6 +87,21 @@
     run(talk())
 
 
+def test_a_request_without_its_key_is_unsafe(tmp_path: Path) -> None:
+    """Two servers stand ready for a repeat, which comes only with a key."""
+
+    async def talk() -> None:
+        for key, count, status in (("", 1, "502"), ("k1", 2, "200")):
+            async with Scripted(GONE) as one, Scripted(GONE) as two:
+                nodes = [one, two]
+                one.answers = two.answers = [GONE]  # whichever comes first breaks
+                async with served(tmp_path, file_of(SAVE, p=[(n.address, "r1") for n in nodes])) as proxy:
+                    assert (await proxy.ask(post("/save/1", key, "a1")))[0] == status
+                    assert len(one.seen + two.seen) == count
+
+    run(talk())
+
+
 def test_what_no_route_takes_is_not_passed_on(tmp_path: Path) -> None:
     async def talk() -> None:
         async with Scripted() as node:
