--- a/dykemux/clients.py
+++ b/dykemux/clients.py
@@ -69,6 +69,14 @@
     LAST = 3  # the last answer is written or owed; input is read and forgotten
 
 
+def host_of(fields: dict[bytes, bytes]) -> bytes:
+    """The Host field's name, without port and brackets."""
+    host = fields.get(b"host", b"").lower()
+    if not host.endswith(b"]"):
+        host = host.rpartition(b":")[0] if b":" in host else host
+    return host.strip(b"[]")
+
+
 class Clients:
     """The listener and the books of all client connections."""
 
@@ -314,7 +322,7 @@
             self.headers = [
                 (n, b"%d" % (int(v[:9]) - 1) if n == b"max-forwards" else v) for n, v in self.headers
             ]
-        if proxy.router:
+        if proxy.router and proxy.own_clients:
             self._read_routed(proxy.router, method, path, fields, version)
             return
         deadline = fields.get(b"x-deadline-ms")
@@ -344,15 +352,18 @@
             fields.get(b"x-retry") == b"1",
             method != b"GET",
         )
+        if proxy.router:  # a class without a route keeps the platform's way
+            policy = self.ask.policy = proxy.router.find(host_of(fields), path, method, fields)
+            if policy:
+                left = self.ask.time_left_ms
+                most = policy.klass.deadline_ms
+                self.ask.time_left_ms = most if left is None else min(left, most)
 
     def _read_routed(
         self, router: Router, method: bytes, path: bytes, fields: dict[bytes, bytes], version: str
     ) -> None:
         """A request of a host with routes of its own, which asks nothing of its clients."""
-        host = fields.get(b"host", b"").lower()
-        if not host.endswith(b"]"):
-            host = host.rpartition(b":")[0] if b":" in host else host
-        policy = router.find(host.strip(b"[]"), path, method, fields)
+        policy = router.find(host_of(fields), path, method, fields)
         if policy is None:
             self.wrong = 404
             return
--- a/dykemux/proxy.py
+++ b/dykemux/proxy.py
@@ -96,6 +96,7 @@
     ) -> None:
         self.loop = loop
         self.router = router
+        self.own_clients = config.any_status  # not the platform's: they send none of its fields
         self._settle(config.settings)
         self.balancer: Decisions = decisions or Balancer(config.settings, config.seed)
         self.origin = time.time() - time.monotonic()  # wall clock at start; it never steps after
--- a/heronreel/cli/serve.py
+++ b/heronreel/cli/serve.py
@@ -9,8 +9,11 @@
 
 @click.command("serve")
 @click.argument("file")
-def serve_command(file: str) -> None:
+@click.option(
+    "--platform", is_flag=True, help="Listener, servers and classes come from LB_NAME, LB_LISTEN, LB_CONFIG."
+)
+def serve_command(file: str, platform: bool) -> None:
     """Run a proxy on the file's own pools.  SIGHUP takes the file again, SIGTERM drains."""
     from heronreel.serve.program import main  # check and explain need no event loop
 
-    sys.exit(main(file))
+    sys.exit(main(file, platform))
--- a/heronreel/serve/program.py
+++ b/heronreel/serve/program.py
@@ -13,24 +13,28 @@
 import uvloop
 
 from dykemux.clients import Clients
+from dykemux.config import Config, ConfigError, load
 from dykemux.http1 import log_to_stderr
 from dykemux.proxy import Proxy
 from flintplank.pools import Pools
 from heronreel.routes.load import BYTES_MOST
 from heronreel.routes.model import Problem, RoutesFile
-from heronreel.routes.proof import Finding, Report, check
-from heronreel.serve.policies import Router, config_of, discovered_pool, settings_of
+from heronreel.routes.proof import Finding, Report, check, limits_of
+from heronreel.serve.policies import Router, config_of, discovered_pool
 
 ALWAYS = {"always": True}  # no limit of lines a second drops it
 
 log = logging.getLogger(__name__)
 
 
-def read_report(path: str) -> Report:
-    """The report on a file; one that can't be read or can't be served is a finding too."""
+def read_report(path: str, platform: Config | None = None) -> Report:
+    """The report on a file; one that can't be read or can't be served is a finding too.
+
+    On a platform the file is held against its settings, and its one pool is the platform's.
+    """
     try:
         with open(path, "rb") as source:
-            report = check(source.read(BYTES_MOST + 1))
+            report = check(source.read(BYTES_MOST + 1), limits_of(platform.settings) if platform else None)
     except OSError as error:
         problem = Problem(
             0, "file", f"can't be read: {error.strerror or error}", "a readable file", "unreadable"
@@ -38,6 +42,14 @@
         return Report(None, (Finding(problem),))
     if report.file is None or not report.safe:
         return report
+    if platform:
+        pools = report.file.pools
+        if [pool.discovered for pool in pools.values()] != [True]:
+            problem = Problem(
+                0, "pools", "others than the platform's", 'one, discovery = "platform"', "unserved"
+            )
+            return Report(report.file, (Finding(problem),))
+        return report
     return Report(report.file, tuple(_unserved(report.file)))
 
 
@@ -63,16 +75,21 @@
 class Server:
     """A proxy and its listeners, fed by one file at a time."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, path: str, file: RoutesFile) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, path: str, file: RoutesFile, platform: Config | None = None
+    ) -> None:
         self.path = path
         self.file = file
-        config = config_of(file)
-        self.pools = Pools(settings_of(file), config.seed, discovered_pool(file))
+        self.platform = platform is not None
+        config = platform or config_of(file)
+        self.pools = Pools(config.settings, config.seed, discovered_pool(file))
         self.proxy = Proxy(loop, config, self.pools, Router(file))
         self.clients = Clients(loop, config, self.proxy)
 
     async def listen(self) -> dict[str, tuple[str, int]]:
         """The address that each listener is bound to, by its name."""
+        if self.platform:
+            return {"clients": await self.clients.listen(self.clients.listens)}
         return {row.name: await self.clients.listen(row.address) for row in self.file.listeners}
 
     def reload(self) -> Report:
@@ -81,12 +98,15 @@
         Nothing is changed before all of the new file is ready.  Requests under way keep the policy they began
         with; those of pools that are gone end where they are.
         """
-        report = read_report(self.path)
+        platform = load(os.environ) if self.platform else None
+        report = read_report(self.path, platform)
         if report.file is None or not report.safe:
             return report
         file = report.file
-        config, router = config_of(file), Router(file)
-        if [row.address for row in file.listeners] != [row.address for row in self.file.listeners]:
+        config, router = platform or config_of(file), Router(file)
+        if not platform and [row.address for row in file.listeners] != [
+            row.address for row in self.file.listeners
+        ]:
             log.error("reload: listeners: new addresses need a restart; the old ones stay")
         if discovered_pool(file) != discovered_pool(self.file):
             problem = Problem(
@@ -101,14 +121,19 @@
         return report
 
 
-async def run(path: str, file: RoutesFile, ready: Callable[[dict[str, tuple[str, int]]], None]) -> None:
+async def run(
+    path: str,
+    file: RoutesFile,
+    ready: Callable[[dict[str, tuple[str, int]]], None],
+    platform: Config | None = None,
+) -> None:
     """Serve until SIGTERM or SIGINT, then drain.  Raises OSError if a listener can't be bound."""
     loop = asyncio.get_running_loop()
     stop, reload = asyncio.Event(), asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, reload.set)
-    server = Server(loop, path, file)
+    server = Server(loop, path, file, platform)
     ready(await server.listen())
     gc.collect()
     gc.freeze()
@@ -125,6 +150,9 @@
         asked.clear()
         try:
             report = server.reload()
+        except ConfigError as error:
+            log.error("reload: %s; the old file stays in force", error, extra=ALWAYS)
+            continue
         except Exception as error:  # a reload must never be what ends the service
             log.exception("reload: %s; the old file may stay in force", error)
             continue
@@ -137,21 +165,26 @@
             log.error(words, len(report.findings), extra=ALWAYS)
 
 
-def main(path: str) -> int:
+def main(path: str, on_platform: bool = False) -> int:
     """Serve a file; 0 after a drain, 1 for a file that is refused, 2 for an address that can't be bound."""
-    report = read_report(path)
+    try:
+        platform = load(os.environ) if on_platform else None
+    except ConfigError as error:
+        print(f"heronreel: {error}", file=sys.stderr)
+        return 2
+    report = read_report(path, platform)
     for finding in report.findings:
         print(f"{path}:{finding}", file=sys.stderr)
     if report.file is None or not report.safe:
         return 1
-    log_to_stderr(report.file.process.name)
+    log_to_stderr(platform.name if platform else report.file.process.name)
 
     def ready(bound: dict[str, tuple[str, int]]) -> None:
         for name, address in bound.items():
             log.info("listening on %s:%d for %s (process %d)", *address, name, os.getpid())
 
     try:
-        uvloop.run(run(path, report.file, ready))
+        uvloop.run(run(path, report.file, ready, platform))
     except OSError as error:
         print(f"heronreel: listeners: {error}", file=sys.stderr)
         return 2
--- a/tests/serving.py
+++ b/tests/serving.py
@@ -41,12 +41,12 @@
 
 
 @asynccontextmanager
-async def served(folder: Path, text: str) -> AsyncIterator[Served]:
+async def served(folder: Path, text: str, *words: str, **env: str) -> AsyncIterator[Served]:
     path = folder / "routes.toml"
     path.write_text(text)
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "heronreel.cli", "serve", str(path),
-        cwd=ROOT, env=dict(os.environ), stderr=asyncio.subprocess.PIPE,
+        sys.executable, "-m", "heronreel.cli", "serve", str(path), *words,
+        cwd=ROOT, env={**os.environ, **env}, stderr=asyncio.subprocess.PIPE,
     )  # fmt: skip
     made = Served(path, process)
     try:
--- a/tests/test_serve.py
+++ b/tests/test_serve.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import signal
 import socket
 import subprocess
@@ -20,7 +21,19 @@
 from heronreel.routes.load import load
 from heronreel.serve.policies import Router, config_of
 from heronreel.standins.servers import Manners, ProfileNode, Rack
-from tests.loopback import ROOT, Backend, Discovery, answer_of, entry, ok, request_of, run
+from tests.loopback import (
+    ROOT,
+    SETTINGS,
+    Backend,
+    Discovery,
+    answer_of,
+    configuration,
+    entry,
+    ok,
+    request,
+    request_of,
+    run,
+)
 from tests.serving import file_of, get, post, served
 
 SAVE = """\
@@ -620,3 +633,51 @@
                 assert (await proxy.ask(get("/many/10000")))[0] == "404"
 
     run(talk())
+
+
+def test_on_the_platform_routes_stand_beside_its_own_checks(tmp_path: Path) -> None:
+    """The platform's classes, ids and list hold; a route adds its policy, and may not ask for less care."""
+
+    async def talk() -> None:
+        async with Scripted(None) as one, Scripted(None) as two:
+            entries = [entry("b1", one.address), entry("b2", two.address)]
+            async with Discovery(*entries) as discovery:
+                config = configuration(discovery.address, *entries)
+                limits = SETTINGS["Limits"] | {"SecondCopies": True}
+                config["settings"] = SETTINGS | {"Limits": limits}
+                (tmp_path / "config.json").write_text(json.dumps(config))
+                with socket.socket() as probe:
+                    probe.bind(("127.0.0.1", 0))
+                    port = probe.getsockname()[1]
+                env = {
+                    "LB_NAME": "n0",
+                    "LB_LISTEN": f"127.0.0.1:{port}",
+                    "LB_CONFIG": str(tmp_path / "config.json"),
+                }
+                text = f'[[pools]]\nname = "p"\ndiscovery = "platform"\n[[routes]]\n{COPY}'
+                async with served(tmp_path, text, "--platform", **env) as proxy:
+                    await discovery.watched.wait()
+                    proxy.ports["in"] = int((await proxy.log_line("listening")).split(":")[-1].split()[0])
+                    assert (await proxy.ask(post("/save/1", "k1")))[0] == "400"  # it needs an id here
+                    reader, writer = await proxy.connect()
+                    writer.write(request("a1"))
+                    await asyncio.gather(one.asked.wait(), two.asked.wait())  # the copy that the route allows
+                    one.go.set()
+                    two.go.set()
+                    assert await answer_of(reader) == ("200", b"late")
+                    assert await proxy.ask(request("a2", "read")) == (
+                        "200",
+                        b"good",
+                    )  # no route: its class alone
+                    for bad in (
+                        text.replace("window_ms = 5000", "window_ms = 6000"),
+                        text.replace("save", "pay"),
+                    ):
+                        proxy.path.write_text(bad)
+                        proxy.signal(signal.SIGHUP)
+                        await proxy.log_line("the old file stays in force")
+                    proxy.path.write_text(text.replace("after_ms = 20", "after_ms = 30"))
+                    proxy.signal(signal.SIGHUP)
+                    await proxy.log_line("reload: done")
+
+    run(talk())
