Read a reload's file in a thread, compile it once, and say twins of the proof once

The routes were compiled twice a load; the report hands its index on. Said once now: reading a file into a report (cli and serve), the pause before an attempt (module and proof), how long an attempt may take (six places), wildcards above a host, and witnesses of a repeat that leaves its group. A check of unsafe requests that an earlier one had made dead is gone. Behaviour and assertions as before.

--- a/flintplank/choice.py
+++ b/flintplank/choice.py
@@ -510,8 +510,6 @@
             return None
         if ran is None:
             return self._keyed_turn(now, request) if self._bears(now, request) else None
-        if request.klass.effect is api.Effect.UNSAFE:
-            return None
         bound = request.klass.effect is api.Effect.KEYED or (policy is not None and policy.retry_in_group)
         # after a pause the window may have closed: the timer came late
         if request.klass.effect is api.Effect.KEYED and now >= ran.sent_at + request.klass.repeat_window_ms:
--- a/flintplank/interface.py
+++ b/flintplank/interface.py
@@ -88,6 +88,13 @@
             raise ValueError(f"effect: unknown effect {self.effect!r}")
 
 
+def pause_before(attempt: int, first_ms: float, most_ms: float) -> float:
+    """The pause before attempt 1, 2, ..., doubled each time; the first, 0, never waits."""
+    if attempt < 1 or not first_ms:
+        return 0.0
+    return min(first_ms * 2.0 ** min(attempt - 1, 60), max(most_ms, first_ms))
+
+
 @dataclass(slots=True, frozen=True)
 class RoutePolicy:
     """What a request's route allows.  The request keeps it to its end, also when its route is gone."""
@@ -121,10 +128,7 @@
             raise ValueError("max_attempts: at least one attempt is needed")
 
     def pause_before(self, attempt: int) -> float:
-        """Before attempt 1, 2, ...; the first, 0, never waits."""
-        if not self.backoff_ms:
-            return 0.0
-        return min(self.backoff_ms * 2.0 ** min(attempt - 1, 60), max(self.backoff_most_ms, self.backoff_ms))
+        return pause_before(attempt, self.backoff_ms, self.backoff_most_ms)
 
 
 class Books(Protocol):
--- a/heronreel/cli/check.py
+++ b/heronreel/cli/check.py
@@ -8,9 +8,9 @@
 
 import click
 
-from heronreel.cli.files import checked
 from heronreel.routes.index import Example
 from heronreel.routes.proof import Finding, Witness
+from heronreel.serve.files import checked
 
 
 @click.command("check")
--- a/heronreel/cli/explain.py
+++ b/heronreel/cli/explain.py
@@ -7,8 +7,8 @@
 
 import click
 
-from heronreel.cli.files import checked
 from heronreel.routes.explain import UNITS, explain
+from heronreel.serve.files import checked
 
 
 @click.command("explain")
--- a/heronreel/routes/index.py
+++ b/heronreel/routes/index.py
@@ -109,6 +109,10 @@
         """The tries that a host's requests may be found in, the most specific first."""
         if self.hosts and (node := self.hosts.get(host)):
             yield node
+        yield from self.wider(host)
+
+    def wider(self, host: bytes) -> Iterator[_Node]:
+        """The tries of wildcards above a host, the longest first, and that of any host."""
         if self.below:
             rest = host
             while dot := rest.find(b".") + 1:
@@ -300,23 +304,11 @@
 
 
 def _covering_roots(level: _Level, host: bytes) -> Iterator[_Node]:
+    """The tries that take every host which a route of this host takes."""
     if host.startswith(b"*."):
-        suffix = host[2:]
-        if node := level.below.get(suffix):
-            yield node
-        host = suffix
-        if host:
-            rest = host
-            while dot := rest.find(b".") + 1:
-                rest = rest[dot:]
-                if node := level.below.get(rest):
-                    yield node
-        if level.any:
-            yield level.any
-    elif host:
+        yield from level.wider(host)  # its own wildcard is the first above it
+    else:
         yield from level.roots(host)
-    elif level.any:
-        yield level.any
 
 
 def _covering_leaves(node: _Node, segments: Segments, depth: int, prefix: bool) -> Iterator[_Leaf]:
--- a/heronreel/routes/model.py
+++ b/heronreel/routes/model.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from flintplank.interface import NEVER_RAN, DedupScope, Effect, Outcome
+from flintplank.interface import NEVER_RAN, DedupScope, Effect, Outcome, pause_before
 
 Path = tuple[str | int, ...]  # of a value in the file: ("routes", 3, "attempts")
 
@@ -148,12 +148,14 @@
     def retries_after_it_may_have_run(self) -> frozenset[str]:
         return self.retry_on - {"not-run"} if self.attempts > 1 else frozenset()
 
+    @property
+    def attempt_most_ms(self) -> float:
+        """How long one attempt may take."""
+        return min(self.attempt_timeout_ms or self.deadline_ms, self.deadline_ms)
+
     def backoff_before(self, attempt: int) -> float:
         """The longest pause before attempt 1, 2, ... (0 is the first and never waits), ms."""
-        if attempt < 1 or not self.backoff_ms:
-            return 0.0
-        doubled = self.backoff_ms * 2.0 ** min(attempt - 1, 60)
-        return min(doubled, max(self.backoff_most_ms, self.backoff_ms))
+        return pause_before(attempt, self.backoff_ms, self.backoff_most_ms)
 
 
 @dataclass(slots=True, frozen=True, eq=False)
--- a/heronreel/routes/proof.py
+++ b/heronreel/routes/proof.py
@@ -61,6 +61,7 @@
 class Report:
     file: RoutesFile | None
     findings: tuple[Finding, ...]
+    index: RouteIndex | None = None  # of the file's routes, compiled once
 
     @property
     def safe(self) -> bool:
@@ -73,8 +74,9 @@
         file = load(data)
     except BadFile as error:
         return Report(None, tuple(Finding(problem) for problem in error.problems))
-    findings = prove(file, platform or file.process.limits)
-    return Report(file, tuple(findings))
+    index = RouteIndex(file.routes)
+    findings = prove(file, platform or file.process.limits, index)
+    return Report(file, tuple(findings), index)
 
 
 def limits_of(settings: Settings, clock_margin_ms: float = 50.0) -> Limits:
@@ -90,10 +92,10 @@
     )
 
 
-def prove(file: RoutesFile, limits: Limits) -> list[Finding]:
+def prove(file: RoutesFile, limits: Limits, index: RouteIndex | None = None) -> list[Finding]:
     """Every finding, by line."""
     found = [finding for route in file.routes for finding in _Prover(file, limits, route).findings()]
-    found += [_clash(file, clash) for clash in RouteIndex(file.routes).clashes]
+    found += [_clash(file, clash) for clash in (index or RouteIndex(file.routes)).clashes]
     shares = sum(tenant.share for tenant in file.tenants)
     if shares > 1.0 + 1e-9:
         problem = Problem(
@@ -118,7 +120,7 @@
 def latest_writes(policy: Policy, limits: Limits) -> list[float]:
     """When the first byte of each attempt is written at the latest, ms after the request came."""
     latest, at = [], 0.0
-    span = min(policy.attempt_timeout_ms or policy.deadline_ms, policy.deadline_ms)
+    span = policy.attempt_most_ms
     for attempt in range(policy.attempts):
         at += policy.backoff_before(attempt)
         latest.append(min(at + limits.connect_timeout_ms, policy.deadline_ms) + limits.clock_margin_ms)
@@ -192,27 +194,27 @@
         words = {"timeout": "timed out", "reset": "the connection broke", "error": "answered with an error"}
         return Step(at, What.ENDED, attempt=attempt, note=f"{words[outcome]}, though it ran")
 
-    def _again_at_once(self, group: str, terms: Terms, wrote: str = "") -> Witness:
-        """Ended in a way that may have run, then sent again to `group`."""
-        span = self.policy.attempt_timeout_ms or self.policy.deadline_ms
+    def _again_at_once(self, group: str, terms: Terms, first: str | None = None) -> Witness:
+        """Ended in a way that may have run, then sent again to `group`; first sent to `first`."""
+        span = self.policy.attempt_most_ms
         outcome = self._may_run_outcome()
         ended = span if outcome == "timeout" else min(1.0, span)
         again = min(ended + self.policy.backoff_before(1), self.policy.deadline_ms)
-        note = wrote or f"sent again to {group}, where it takes effect a second time"
+        note = f"sent again to {group}, where it takes effect a second time"
         steps = [
-            *self._first(),
+            *self._first(first),
             self._ended(ended, outcome),
             Step(again, What.SENT, attempt=1, group=group, note=note),
             Step(again, What.SERVED),
         ]
         return Witness("twice", terms, tuple(steps))
 
-    def _copied(self, group: str, terms: Terms, rule: str = "twice") -> Witness:
+    def _copied(self, group: str, terms: Terms, rule: str = "twice", first: str | None = None) -> Witness:
         after = self.policy.second_copy_after_ms
         when = after or min(1.0, self.policy.deadline_ms)
         note = f"second copy sent to {group} while the first runs"
         steps = [
-            *self._first(),
+            *self._first(first),
             Step(when, What.SENT, attempt=1, group=group, note=note),
             Step(when, What.SERVED),
         ]
@@ -232,7 +234,7 @@
         late = next((n for n, at in enumerate(latest) if n and at >= window), None)
         if late is None:
             return
-        span = min(policy.attempt_timeout_ms or policy.deadline_ms, policy.deadline_ms)
+        span = policy.attempt_most_ms
         steps, at = self._first(), 0.0
         outcome = self._may_run_outcome()
         for attempt in range(late):
@@ -348,9 +350,7 @@
             return
         here, there = self._two_groups(reach)
         wrong = f"a repeat may go from {here} to {there}, which does not know the key"
-        witness = self._again_at_once(there, self._terms())
-        first = Step(0.0, What.SENT, attempt=0, group=here, note=f"sent to {here}, where it takes effect")
-        witness = Witness("twice", witness.terms, (witness.steps[0], first, *witness.steps[2:]))
+        witness = self._again_at_once(there, self._terms(), here)
         yield Finding(self._problem("retry_to", wrong, 'retry_to = "group"', "retry-leaves-group"), witness)
 
     def copy_leaves_group(self) -> Iterator[Finding]:
@@ -359,9 +359,7 @@
             return
         here, there = self._two_groups(reach)
         wrong = f"a second copy may go to {there} while {here} has the first"
-        witness = self._copied(there, self._terms())
-        first = Step(0.0, What.SENT, attempt=0, group=here, note=f"sent to {here}, where it takes effect")
-        witness = Witness("twice", witness.terms, (witness.steps[0], first, *witness.steps[2:]))
+        witness = self._copied(there, self._terms(), first=here)
         yield Finding(
             self._problem("second_copy_to", wrong, 'second_copy_to = "group"', "copy-leaves-group"), witness
         )
@@ -374,7 +372,7 @@
         back = policy.deadline_ms + self.limits.max_retry_after_ms + self.limits.client_wait_ms
         if policy.effect is Effect.KEYED and policy.group is DedupScope.ALL and back < policy.window_ms:
             return
-        refused = min(policy.attempt_timeout_ms or policy.deadline_ms, policy.deadline_ms)
+        refused = policy.attempt_most_ms
         other = self._group_name(1)
         returns = refused + 1.0 if policy.group is not DedupScope.ALL else max(back, policy.window_ms)
         steps = (
@@ -550,7 +548,7 @@
         policy = self.policy
         if not policy.retry_on and not policy.copies:
             return  # `nothing_to_retry` says it
-        span = min(policy.attempt_timeout_ms or policy.deadline_ms, policy.deadline_ms)
+        span = policy.attempt_most_ms
         quick = 0.0 if policy.retry_on - {"timeout"} or policy.copies else span
         at = 0.0
         for attempt in range(1, policy.attempts):
@@ -573,7 +571,7 @@
 
     def copy_too_late(self) -> Iterator[Finding]:
         policy = self.policy
-        end = min(policy.attempt_timeout_ms or policy.deadline_ms, policy.deadline_ms)
+        end = policy.attempt_most_ms
         if policy.second_copy_after_ms and policy.second_copy_after_ms >= end:
             wrong = (
                 f"a copy after {policy.second_copy_after_ms:,.0f} ms; the first is given up at {end:,.0f} ms"
--- /dev/null
+++ b/heronreel/serve/files.py
@@ -0,0 +1,20 @@
+"""Reading the files that commands and reloads name."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from heronreel.routes.load import BYTES_MOST
+from heronreel.routes.model import Limits, Problem
+from heronreel.routes.proof import Finding, Report, check
+
+
+def checked(path: str, platform: Limits | None = None) -> Report:
+    """The report on a file; one that can't be read is a finding too."""
+    try:
+        with Path(path).open("rb") as file:
+            data = file.read(BYTES_MOST + 1)  # one beyond the most, so that `load` can say so
+    except OSError as error:
+        wrong = f"can't be read: {error.strerror or error}"
+        return Report(None, (Finding(Problem(0, "file", wrong, "a readable file", "unreadable")),))
+    return check(data, platform)
--- a/heronreel/serve/policies.py
+++ b/heronreel/serve/policies.py
@@ -69,8 +69,8 @@
 class Router:
     """Finds a request's policy; made anew for each file, and never changed."""
 
-    def __init__(self, file: RoutesFile) -> None:
-        self.index = RouteIndex(file.routes)
+    def __init__(self, file: RoutesFile, index: RouteIndex | None = None) -> None:
+        self.index = index or RouteIndex(file.routes)
         margin = file.process.limits.clock_margin_ms
         self.policies: dict[Route, tuple[api.RoutePolicy, api.RoutePolicy]] = {}
         for route in file.routes:
--- a/heronreel/serve/program.py
+++ b/heronreel/serve/program.py
@@ -17,9 +17,9 @@
 from dykemux.http1 import log_to_stderr
 from dykemux.proxy import Proxy
 from flintplank.pools import Pools
-from heronreel.routes.load import BYTES_MOST
 from heronreel.routes.model import Problem, RoutesFile
-from heronreel.routes.proof import Finding, Report, check, limits_of
+from heronreel.routes.proof import Finding, Report, limits_of
+from heronreel.serve.files import checked
 from heronreel.serve.policies import Router, config_of, discovered_pool
 
 ALWAYS = {"always": True}  # no limit of lines a second drops it
@@ -28,18 +28,11 @@
 
 
 def read_report(path: str, platform: Config | None = None) -> Report:
-    """The report on a file; one that can't be read or can't be served is a finding too.
+    """The report on a file; what can't be served is a finding too.
 
     On a platform the file is held against its settings, and its one pool is the platform's.
     """
-    try:
-        with open(path, "rb") as source:
-            report = check(source.read(BYTES_MOST + 1), limits_of(platform.settings) if platform else None)
-    except OSError as error:
-        problem = Problem(
-            0, "file", f"can't be read: {error.strerror or error}", "a readable file", "unreadable"
-        )
-        return Report(None, (Finding(problem),))
+    report = checked(path, limits_of(platform.settings) if platform else None)
     if report.file is None or not report.safe:
         return report
     if platform:
@@ -50,7 +43,7 @@
             )
             return Report(report.file, (Finding(problem),))
         return report
-    return Report(report.file, tuple(_unserved(report.file)))
+    return Report(report.file, tuple(_unserved(report.file)), report.index)
 
 
 def _unserved(file: RoutesFile) -> list[Finding]:
@@ -92,18 +85,20 @@
             return {"clients": await self.clients.listen(self.clients.listens)}
         return {row.name: await self.clients.listen(row.address) for row in self.file.listeners}
 
-    def reload(self) -> Report:
+    async def reload(self) -> Report:
         """Take the file as it is now, whole or not at all.
 
-        Nothing is changed before all of the new file is ready.  Requests under way keep the policy they began
-        with; those of pools that are gone end where they are.
+        Nothing is changed before all of the new file is ready, which takes seconds with thousands of routes:
+        a thread makes it ready, so that the loop goes on answering.  Requests under way keep the policy they
+        began with; those of pools that are gone end where they are.
         """
         platform = load(os.environ) if self.platform else None
-        report = read_report(self.path, platform)
+        report = await asyncio.to_thread(read_report, self.path, platform)
         if report.file is None or not report.safe:
             return report
         file = report.file
-        config, router = platform or config_of(file), Router(file)
+        router = await asyncio.to_thread(Router, file, report.index)
+        config = platform if platform else await asyncio.to_thread(config_of, file)
         if not platform and [row.address for row in file.listeners] != [
             row.address for row in self.file.listeners
         ]:
@@ -149,7 +144,8 @@
         await asked.wait()
         asked.clear()
         try:
-            report = server.reload()
+            log.info("reload: reading %s", server.path, extra=ALWAYS)
+            report = await server.reload()
         except ConfigError as error:
             log.error("reload: %s; the old file stays in force", error, extra=ALWAYS)
             continue
--- a/tests/test_serve.py
+++ b/tests/test_serve.py
@@ -681,3 +681,32 @@
                     await proxy.log_line("reload: done")
 
     run(talk())
+
+
+def test_a_large_reload_does_not_hold_requests_up(tmp_path: Path) -> None:
+    """Ten thousand routes take seconds to read and prove; requests go on being answered meanwhile."""
+
+    async def talk() -> None:
+        async with Scripted() as node:
+            text = file_of(READ, p=[(node.address, "r1")])
+            many = "".join(
+                f'[[routes]]\nname = "m{n}"\nmatch = {{ path = "/many/{n}" }}\npool = "p"\n'
+                for n in range(10_000)
+            )
+            async with served(tmp_path, text) as proxy:
+                reader, writer = await proxy.connect()
+                proxy.path.write_text(text + many)
+                proxy.signal(signal.SIGHUP)
+                await proxy.log_line("reload: reading")
+                done = asyncio.create_task(proxy.log_line("reload: done"))
+                began = time.monotonic()
+                waits: list[float] = []
+                while not done.done():
+                    asked = time.monotonic()
+                    writer.write(get("/read/1"))
+                    assert await answer_of(reader) == ("200", b"good")
+                    waits.append(time.monotonic() - asked)
+                # a loop held up would answer one request only when the file is read: nearly all of the time
+                assert max(waits) < 0.5 * (time.monotonic() - began)
+
+    run(talk())
