--- a/heronreel/store/aio.py
+++ b/heronreel/store/aio.py
@@ -13,6 +13,7 @@
 from collections import deque
 from collections.abc import AsyncIterator, Callable, Iterator
 from concurrent.futures import ThreadPoolExecutor
+from queue import SimpleQueue
 from types import TracebackType
 from typing import TypeVar
 
@@ -68,8 +69,7 @@
         self.store = store
         self._loop = asyncio.get_running_loop()
         self._readers = ThreadPoolExecutor(readers, "store-reader")
-        self._wake = threading.Condition()
-        self._queue: deque[_Write] = deque()
+        self._queue: SimpleQueue[_Write | None] = SimpleQueue()  # None ends the writer
         self._waiting = 0  # bytes
         self._room: deque[asyncio.Future[None]] = deque()
         self._ending = False
@@ -93,9 +93,9 @@
 
     async def close(self) -> None:
         """Write what waits, then close the store."""
-        with self._wake:
+        if not self._ending:
             self._ending = True
-            self._wake.notify()
+            self._queue.put(None)
         for future in self._room:
             if not future.done():
                 future.set_exception(StoreClosed("the store is closed"))
@@ -157,27 +157,27 @@
             self._room.append(room)
             await room
         write = _Write(operations, size, self._loop.create_future())
-        with self._wake:
-            if self._ending:
-                raise StoreClosed("the store is closed")
-            self._queue.append(write)
-            self._waiting += size
-            self._wake.notify()
+        if self._ending:
+            raise StoreClosed("the store is closed")
+        self._waiting += size
+        self._queue.put(write)
         await write.future
 
     def _write_all(self) -> None:
         """The writer's thread."""
-        while True:
-            with self._wake:
-                while not self._queue:
-                    if self._ending:
-                        return
-                    self._wake.wait()
-                group: list[_Write] = []
-                size = 0
-                while self._queue and (not group or size < self.store.limits.group):
-                    group.append(self._queue.popleft())
-                    size += group[-1].size
+        ending = False
+        while not ending:
+            first = self._queue.get()
+            if first is None:
+                return
+            group, size = [first], first.size
+            while size < self.store.limits.group and not self._queue.empty():
+                following = self._queue.get()
+                if following is None:
+                    ending = True
+                    break
+                group.append(following)
+                size += following.size
             error: BaseException | None = None
             try:
                 self.store.write([write.operations for write in group])
--- a/heronreel/store/disk.py
+++ b/heronreel/store/disk.py
@@ -15,6 +15,7 @@
 from __future__ import annotations
 
 import fcntl
+import mmap
 import os
 from pathlib import Path
 from typing import Protocol
@@ -151,11 +152,15 @@
 
     def __init__(self, descriptor: int) -> None:
         self._descriptor = descriptor
+        os.truncate(descriptor, 64)
+        # by a mapping: a write to the file would change its times, for the log's next fsync to write as well
+        self._note = mmap.mmap(descriptor, 64)
 
     def tell(self, note: bytes) -> None:
-        os.pwrite(self._descriptor, note.ljust(64, b"\0"), 0)
+        self._note[:] = note.ljust(64, b"\0")
 
     def release(self) -> None:
+        self._note.close()  # it has the lock's file open too
         descriptor, self._descriptor = self._descriptor, -1
         if descriptor >= 0:
             os.close(descriptor)
--- a/heronreel/store/frames.py
+++ b/heronreel/store/frames.py
@@ -265,14 +265,15 @@
         # So a last segment without frames whose header is torn, or bytes that another file left there, is a
         # creation cut off. One that an opening made counts from the manifest on that begins the log with
         # it, and not before.
-        if headers and headers[-1][0] != self._first:
+        while headers and headers[-1][0] != self._first:
             number, header = headers[-1]
             whole = header is not None and header.number == number and header.store == self._store
             length = len(self._read(number))
-            if length <= HEADER_BYTES and (header is None or not whole or header.fresh):
-                headers.pop()
-                why = "an opening was cut off" if header and header.fresh else "its creation was cut off"
-                self.state.dropped.append(Dropped(file_name(number), 0, length, why))
+            if length > HEADER_BYTES or (whole and header and not header.fresh):
+                break
+            headers.pop()
+            why = "an opening was cut off" if header and header.fresh else "its creation was cut off"
+            self.state.dropped.append(Dropped(file_name(number), 0, length, why))
         return headers
 
     def _segment(
--- a/heronreel/store/store.py
+++ b/heronreel/store/store.py
@@ -72,6 +72,9 @@
 
     memory: int = 4 << 20  # of the table in memory; a second one may be on its way to the disk
     segment: int = 4 << 20  # of a segment of the log; one more frame may lie over it
+    fragment: int = (
+        frames.FRAGMENT_MOST
+    )  # of a frame's payload; a larger group has several, in several segments
     log: int = 16 << 20  # of the log behind the runs: a key written over and over fills no memory
     block: int = (
         4096  # of a block of a table: what one read of one key reads; one more record may lie over it
@@ -83,6 +86,10 @@
     group: int = 1 << 20  # of the writes that share an fsync
 
     def __post_init__(self) -> None:
+        if self.fragment > frames.FRAGMENT_MOST:
+            raise InvalidArgument(
+                f"fragment: {self.fragment}, and it should be at most {frames.FRAGMENT_MOST}"
+            )
         for name in self.__slots__:
             if getattr(self, name) < 1:
                 raise InvalidArgument(f"{name}: {getattr(self, name)}, and it should be at least 1")
@@ -277,8 +284,13 @@
         # answered: the pages that were just read may be in memory only (a crash could still take them, and
         # an fsync that has failed once says nothing about them later), and nothing is ever written behind a
         # torn end.
-        for _ in self._flushing(memory, manifest.next_sequence, log.next_sequence - 1, log.last_number + 1):
-            pass
+        # Where the log holds no group there is nothing to write anew: the segment waits for the first write.
+        self._header = SegmentHeader(b"", log.last_number, 0, 0, 0)
+        if manifest.generation == 0 or log.groups:
+            self._begin_log()
+            flush = self._flushing(memory, manifest.next_sequence, log.next_sequence - 1, self._header.number)
+            for _ in flush:
+                pass
         self._clean()
 
     def _load_for_reading(self) -> None:
@@ -489,12 +501,13 @@
             self._write_group(group)
         except BaseException as raised:
             error = raised
+        for ticket in group:
+            ticket.done, ticket.error = True, error
         with self._gate:
-            for ticket in group:
-                ticket.done, ticket.error = True, error
-                if not ticket.lead:
-                    ticket.turn.release()
-            self._pass_the_lead()
+            self._pass_the_lead()  # first: the disk should not wait until the others have woken up
+        for ticket in group:
+            if not ticket.lead:
+                ticket.turn.release()
 
     def _pass_the_lead(self) -> None:
         """To the first in the queue, if there is one; the gate is held."""
@@ -557,9 +570,11 @@
         """Write one group to the log and sync it, or raise WriteFailed and leave the log as if it had not
         been.
         """
-        sequence, view, most = self._next_sequence, memoryview(payload), frames.FRAGMENT_MOST
+        sequence, view, most = self._next_sequence, memoryview(payload), self.limits.fragment
         try:
-            if self._segment is None or self._segment_failed or self._offset >= self.limits.segment:
+            if self._segment is None:
+                self._name_log()
+            elif self._segment_failed or self._offset >= self.limits.segment:
                 self._new_segment()
             for begin in range(0, max(1, len(payload)), most):
                 if begin and self._offset >= self.limits.segment:
@@ -606,7 +621,22 @@
     def _fail(self, what: str) -> None:
         self.failure = f"{what}; writes are refused until the store is opened anew"
 
-    def _new_segment(self, fresh: int | None = None) -> None:
+    def _begin_log(self) -> None:
+        """Begin a segment that has nothing to do with those before it; it counts once a manifest names it."""
+        self._new_segment(fresh=True)
+
+    def _name_log(self) -> None:
+        """Begin the log anew where nothing was in it; the first write after an opening waits for it."""
+        with self._maintenance:
+            self._begin_log()
+            try:
+                self._install(self._changed(log_from=self._header.number))
+            except OSError:
+                self._segment = None  # begun again by the next write
+                raise
+        self._clean()
+
+    def _new_segment(self, fresh: bool = False) -> None:
         """Begin a segment.  The one before ends, for good, where the last acknowledged group in it ends.
 
         The header and the name are durable before a frame is written, so that a whole header in a longer
@@ -615,11 +645,11 @@
         former_end = self._durable if self._segment_failed else self._offset
         header = SegmentHeader(
             bytes.fromhex(self._manifest.store),
-            self._header.number + 1 if fresh is None else fresh,
+            self._header.number + 1,
             self._next_sequence,
             former_end,
             secrets.randbits(64),
-            fresh is not None,
+            fresh,
         )
         file = self._disk.create(frames.file_name(header.number))
         data = header.encode()
@@ -692,7 +722,9 @@
             self._let_writes_go()
 
     def _write_mark(self) -> None:
-        if self._segment is None or self._segment_failed:
+        if self._segment is None:
+            self._name_log()
+        elif self._segment_failed:
             self._new_segment()
         self._write_frame(Kind.MARK, self._next_sequence, b"")
         self._sync_segment()
@@ -810,8 +842,9 @@
         writer: TableWriter | None = None
         finished: list[tuple[TableInfo, Index]] = []
 
-        def finish(last: bool) -> None:
+        def finish(last: bool) -> Iterator[int]:
             assert writer
+            yield from writer.filter_steps()
             made = writer.finish(last)
             finished.append(made)
             self._made.append(made[0])
@@ -823,7 +856,7 @@
                 done += len(key)
             else:
                 if writer is not None and writer.written >= limits.part:
-                    finish(False)
+                    yield from finish(False)
                     writer = None
                 if writer is None:
                     header = TableHeader(
@@ -844,7 +877,7 @@
                 yield done
                 done = 0
         if writer is not None:
-            finish(True)
+            yield from finish(True)
         if finished:
             info = RunInfo(low, high, tuple(info for info, _ in finished))
             store = bytes.fromhex(self._manifest.store)
@@ -865,8 +898,6 @@
                 else:
                     yield step
         yield 1
-        if log_from > self._header.number:  # at opening: nothing is written to the log that was read
-            self._new_segment(log_from)
         runs = [*self._manifest.runs, *([run_entry(run.info)] if run else [])]
         self._install(self._changed(log_from=log_from, next_sequence=high + 1, runs=runs))
         if run:
--- a/heronreel/store/tables.py
+++ b/heronreel/store/tables.py
@@ -33,6 +33,7 @@
 WRITE_TARGET = 1 << 16
 FILTER_BITS = 10
 FILTER_PROBES = 4
+FILTER_STEP = 4096  # keys put into a filter at once: some milliseconds
 MASK = (1 << 64) - 1
 
 Record = tuple[bytes, bytes | None]
@@ -204,15 +205,20 @@
 
     @classmethod
     def of(cls, hashes: list[int]) -> Filter:
-        data = bytearray(max(8, (len(hashes) * FILTER_BITS + 7) // 8))
-        bits = len(data) * 8
+        made = cls(bytearray(max(8, (len(hashes) * FILTER_BITS + 7) // 8)))
+        made.add(hashes)
+        return made
+
+    def add(self, hashes: list[int]) -> None:
+        """Only for a filter made from a bytearray of the right size for all its keys."""
+        data, bits = self._data, self._bits
+        assert isinstance(data, bytearray)
         for hashed in hashes:
             at, step = hashed & 0xFFFFFFFF, hashed >> 32 | 1
             for _ in range(FILTER_PROBES):
                 place = at % bits
                 data[place >> 3] |= 1 << (place & 7)
                 at += step
-        return cls(bytes(data))
 
     @property
     def data(self) -> bytes:
@@ -296,6 +302,7 @@
     _firsts: list[bytes] = field(init=False, default_factory=list)
     _hashes: list[int] = field(init=False, default_factory=list)
     _last: bytes = field(init=False, default=b"")
+    _filter: Filter | None = field(init=False, default=None)
 
     def __post_init__(self) -> None:
         self._file = self.disk.create(table_name(self.header.number))
@@ -315,6 +322,14 @@
         self._flush()
         self._file.sync()
 
+    def filter_steps(self) -> Iterator[int]:
+        """Make the filter some thousand keys at a time, once all records are there; yields after each."""
+        if self._filter is None:
+            self._filter = Filter(bytearray(max(8, (len(self._hashes) * FILTER_BITS + 7) // 8)))
+            for begin in range(0, len(self._hashes), FILTER_STEP):
+                self._filter.add(self._hashes[begin : begin + FILTER_STEP])
+                yield 1  # no bytes to speak of, and a step all the same
+
     def finish(self, last_part: bool) -> tuple[TableInfo, Index]:
         """Raises OSError where the disk fails; then nothing may refer to the table."""
         first = self._firsts[0] if self._firsts else self._block[0][0]
@@ -324,7 +339,10 @@
         self._flush()
         self._file.sync()
         self._file.close()
-        index = Index(self._offsets, self._firsts, Filter.of(self._hashes))
+        for _ in self.filter_steps():
+            pass
+        assert self._filter
+        index = Index(self._offsets, self._firsts, self._filter)
         # not synced: an index that is lost or torn is made anew from its table
         file = self.disk.create(index_name(self.header.number))
         try:
