--- a/tests/stores.py
+++ b/tests/stores.py
@@ -13,7 +13,8 @@
 Step = Callable[[Store], None]
 
 TINY = Limits(
-    memory=2400, segment=700, fragment=256, log=2000, block=120, part=500, step=256, sync_every=400, group=2000
+    memory=2400, segment=700, fragment=256, log=2000, block=120,
+    part=500, step=256, sync_every=400, group=2000,
 )  # fmt: skip
 """Every write is a step or so from a new segment, a flush or a merge."""
 
