Overload: fewer attempts where most are turned away, and warm keys kept longer

flintplank/overload.py keeps the share of attempts turned away over a second: under 0.4 all is as before, up to 0.6 a request whose attempts were all turned away has two, over it one. A key has three warm servers, kept up to 8 mean costs.

--- a/flintplank/choice.py
+++ b/flintplank/choice.py
@@ -10,6 +10,7 @@
 from heapq import heappop, heappush, nlargest
 
 from flintplank import interface as api
+from flintplank.overload import TurnedAway
 
 PERIOD_MS = 200.0  # between two updates of the weights (paper)
 SLOT_MS = 200.0  # one slot holds this much work (ours: one slot a period keeps booking cheap)
@@ -30,7 +31,7 @@
 BEAR_OVER_SHARE = 0.2  # the same beyond a tenant's share (ours)
 SHARE_BURST_MS = 2000.0  # of a tenant's quota saved up at most (ours)
 SHARE_SLACK = 1.3  # our part of the quotas over what it is found to be: sites are not loaded evenly (ours)
-KEY_HOMES, KEY_SLACK = 2, 3.0  # backends that share a key; mean costs one may be booked over the rest (ours)
+KEY_HOMES, KEY_SLACK = 3, 8.0  # backends that share a key; mean costs one may be booked over the rest (ours)
 HOMES_MOST = 4096  # keys whose homes are remembered (ours)
 MIX = (0x9E3779B97F4A7C15, 0xBF58476D1CE4E5B9)  # odd multipliers of the rendezvous hash (common ones)
 CROSS_FOR = 2.0  # share of the aim a wait must cost, per point of the price, to cross zones (ours)
@@ -157,6 +158,7 @@
         self.asked: dict[str, Rate] = {}  # by tenant with a quota: first tries
         self.part = SHARE_SLACK / settings.proxies  # of the quotas that is ours
         self.pace = float(settings.proxies)  # what one send stands for on a board
+        self.turned_away = TurnedAway()
         self.sends, self.service = Rate(), Rate()  # Nr, and the booked cost before pace and ramp
         self.ended, self.served = Rate(), Rate()  # attempts that may have run, and the cost of those served
         self.mean_out = self.mean_service = 0.0
@@ -222,6 +224,7 @@
         for asked in self.asked.values():
             asked.roll(periods)
         self._find_part()
+        self.turned_away.roll()
         self.mean_service = self.service.mean / self.sends.mean if self.sends.mean else 0.0
         size = max(1, len(self.backends))
         # attempts out over their rate of ending are the mean stay (Little's law); above its floor it is wait
@@ -335,6 +338,8 @@
             self.requests.pop(ended.request, None)
         attempt.may_have_run, attempt.out = ended.outcome not in api.NEVER_RAN, False
         self.ended.now += attempt.may_have_run
+        if ended.outcome is api.Outcome.REJECTED:
+            self.turned_away.saw(True)
         self._judge(now, attempt, ended)
         if ended.outcome is api.Outcome.SERVED:
             self.served.now += attempt.cost
@@ -509,7 +514,8 @@
         if not self._may_send(now, request, ran):
             return None
         if ran is None:
-            return self._keyed_turn(now, request) if self._bears(now, request) else None
+            may_try = self.turned_away.may_try(len(request.attempts)) and self._bears(now, request)
+            return self._keyed_turn(now, request) if may_try else None
         bound = request.klass.effect is api.Effect.KEYED or (policy is not None and policy.retry_in_group)
         # after a pause the window may have closed: the timer came late
         if request.klass.effect is api.Effect.KEYED and now >= ran.sent_at + request.klass.repeat_window_ms:
@@ -531,6 +537,7 @@
         backend.board.queue.append((now, turn_cost * self.pace))
         backend.credit -= cost
         self.sends.now += 1.0
+        self.turned_away.saw(False)
         self.service.now += cost * backend.factor
         self.busy[backend.info.backend] = None
         self.turn = backend.turn = self.turn + 1.0
--- /dev/null
+++ b/tests/test_turned_away.py
@@ -0,0 +1,73 @@
+"""A fleet that turns most attempts away is tried less, and as before once it has room again."""
+
+from __future__ import annotations
+
+from flintplank.interface import ListKind, Outcome, Refuse, RequestClass, Settings
+from flintplank.overload import FEW_TURNED_AWAY, MOST_TURNED_AWAY, TRIES, TurnedAway
+from tests.host import Host, fleet
+
+
+def attempts_of(host: Host, outcome: Outcome) -> int:
+    """A request whose attempts all end so, at once; it must be over then."""
+    ident = host.arrive(hint=5.0)
+    while any(request == ident for request, _ in host.out()):
+        number = len(host.owed[ident].attempts) - 1
+        host.now += 1.0
+        host.end(ident, number, outcome)
+    assert host.owed[ident].over
+    return len(host.owed[ident].attempts)
+
+
+def test_attempts_fall_with_the_share_turned_away_and_come_back_after_it() -> None:
+    host = Host(Settings((RequestClass("read"),), max_attempts=6))
+    host.listed(ListKind.FULL, *fleet(12))
+    assert attempts_of(host, Outcome.REJECTED) == 6  # one request alone tells nothing of the fleet
+    tries = []
+    for _ in range(60):
+        tries.append(attempts_of(host, Outcome.REJECTED))
+        host.run_to(host.now + 20.0)
+    assert tries[-1] == 1  # and never fewer, or nobody would learn of room
+    refused = [action for action in host.log if isinstance(action, Refuse)]
+    assert len(refused) == 61  # each of them at once, in the event that turned its last attempt away
+    calm_after = 0
+    while attempts_of(host, Outcome.REJECTED) < 6:
+        for _ in range(20):
+            assert attempts_of(host, Outcome.SERVED) == 1
+            host.run_to(host.now + 10.0)
+        calm_after += 1
+    assert calm_after < 15  # 3 s
+
+
+def test_one_full_server_among_many_costs_no_request_its_second_attempt() -> None:
+    host = Host(Settings((RequestClass("read"),), max_attempts=6))
+    host.listed(ListKind.FULL, *fleet(8))
+    full = 100
+    for _ in range(300):
+        ident = host.arrive(hint=5.0)
+        while any(request == ident for request, _ in host.out()):
+            number = len(host.owed[ident].attempts) - 1
+            rejected = host.owed[ident].attempts[number].backend == full
+            host.end(ident, number, Outcome.REJECTED if rejected else Outcome.SERVED, 10.0)
+        assert not any(isinstance(action, Refuse) for action in host.log)
+
+
+def test_a_burst_shorter_than_a_period_is_no_shortage_and_a_mixed_second_allows_two() -> None:
+    seen = TurnedAway()
+
+    def period(sent: int, rejected: int) -> None:
+        for number in range(sent):
+            seen.saw(False)
+            if number < rejected:
+                seen.saw(True)
+
+    period(50, 40)
+    assert seen.may_try(5)  # until the period is over
+    seen.roll()
+    assert seen.share == 0.8 and seen.may_try(0) and not seen.may_try(1)
+    period(60, 0)
+    seen.roll()
+    assert seen.share < FEW_TURNED_AWAY and seen.may_try(5)
+    period(40, 30)
+    seen.roll()
+    assert FEW_TURNED_AWAY <= seen.share < MOST_TURNED_AWAY
+    assert seen.may_try(TRIES - 1) and not seen.may_try(TRIES)
