Store: a first write no longer takes a merge's files, and three more found in reading

And by reading alone: compact() could put aside a merge that another thread had just begun, or call one done that had been given up.

--- a/heronreel/store/store.py
+++ b/heronreel/store/store.py
@@ -328,8 +328,9 @@
         self._load_for_reading()
 
     def _clean(self) -> None:
-        """Remove the files that no manifest names any more; what can't be removed is left for the next
-        opening.
+        """At opening, when nothing is under way: remove the files that the manifest does not name.
+
+        What can't be removed is left for the next opening.
         """
         manifest = self._manifest
         named = {part.number for run in manifest.runs for part in run.parts}
@@ -634,7 +635,7 @@
             except OSError:
                 self._segment = None  # begun again by the next write
                 raise
-        self._clean()
+            self._remove_segments(self._header.number)
 
     def _new_segment(self, fresh: bool = False) -> None:
         """Begin a segment.  The one before ends, for good, where the last acknowledged group in it ends.
@@ -747,9 +748,14 @@
         return done
 
     def _maintain(self, written: int) -> None:
-        """Pay for a write of `written` bytes with steps of maintenance."""
+        """Pay for a write of `written` bytes with steps of maintenance.
+
+        It pays for its own bytes at most, or large writes would outrun the merges; small ones save up for a
+        step.
+        """
         limits = self.limits
-        self._credit = min(self._credit + (written + 64) * limits.pace, 4 * limits.step)
+        earned = (written + 64) * limits.pace
+        self._credit = min(self._credit + earned, max(earned, 4 * limits.step))
         if self._credit < limits.step or not self._maintenance.acquire(blocking=False):
             return
         try:
@@ -768,24 +774,22 @@
             return 0
         began = time.perf_counter()
         try:
-            if self._flush is None and self._view.frozen:
-                self._begin_flush()  # it failed before
-            if self._flush is not None:
+            if self._flush is not None or self._view.frozen:
+                if self._flush is None:
+                    self._begin_flush()  # it failed before
+                assert self._flush
                 done = next(self._flush, 0)
                 if not done:
                     self._flush = None
-            else:
-                done = 0
-            if not done:
-                if self._merge is None and not self._begin_merge():
-                    return 0
+            elif self._merge is not None or self._begin_merge():
                 assert self._merge
                 done = next(self._merge, 0)
                 if not done:
                     self._merge = None
-                    done = 1
+            else:
+                return 0
             self.maintenance_error = None
-            return done
+            return done or 1
         except OSError as error:
             self.maintenance_error = error
             self._abandon()
@@ -801,14 +805,9 @@
             )
 
     def _finish_flush(self) -> None:
-        """Steps until nothing is frozen or flushing fails, with what failed before tried again."""
-        while self._view.frozen:
-            if self._flush is None:
-                self._begin_flush()
-            task = self._flush
-            self._step()
-            if self._flush is None and self._view.frozen and task is not None:
-                return
+        """Steps until nothing is frozen, or until flushing fails or writes have ended."""
+        while self._view.frozen and self._step():
+            pass
 
     def _begin_merge(self) -> bool:
         runs = self._view.runs
@@ -905,9 +904,13 @@
         with self._state:
             view = self._view
             self._view = View(view.memory, {}, (*view.runs, run) if run else view.runs)
+        self._remove_segments(log_from)
+
+    def _remove_segments(self, before: int) -> None:
+        """Of the log, by a manifest that begins it with `before`."""
         for name in self._disk.names():
             stem, _, kind = name.partition(".")
-            if kind == "log" and stem.isdigit() and int(stem) < log_from:
+            if kind == "log" and stem.isdigit() and int(stem) < before:
                 _remove(self._disk, name)
 
     def _merging(self, runs: tuple[Run, ...], oldest: bool) -> Iterator[int]:
@@ -1003,19 +1006,22 @@
                 self._flush_all()
         finally:
             self._let_writes_go()
-        done, going = 0, True
-        while going:  # a merge under way has its part done already
+        done = 0
+        while True:
             with self._maintenance:
-                going = self._merge is not None and self._step() > 0
-        with self._maintenance:
-            runs = self._view.runs
-            if not runs or (len(runs) == 1 and not runs[0].info.deletions):
-                return
-            whole = sum(run.info.size for run in runs)
-            task = self._merge = self._merging(runs, oldest=True)
+                if self._merge is None:
+                    task = self._begin_whole_merge()
+                    break
+                if not self._step():  # a merge under way has its part done already
+                    self._raise_maintenance()
+        if task is None:
+            return
+        whole = sum(run.info.size for run in self._view.runs)
         while True:
             with self._maintenance:
                 if self._merge is not task:
+                    if self.maintenance_error:  # another thread's step failed, and gave up this merge too
+                        self._raise_maintenance()
                     break
                 if not (step := self._step()):
                     self._raise_maintenance()
@@ -1023,6 +1029,12 @@
             if progress:
                 progress(min(done, whole), whole)
 
+    def _begin_whole_merge(self) -> Iterator[int] | None:
+        runs = self._view.runs
+        if runs and (len(runs) > 1 or runs[0].info.deletions):
+            self._merge = self._merging(runs, oldest=True)
+        return self._merge
+
     def _hold_writes(self) -> None:
         """Take the lead of the queue, with nothing to write: until it is passed on, no write is under way."""
         ticket = _Ticket(b"", [], threading.Lock(), hold=True)
--- a/tests/test_store_crashes.py
+++ b/tests/test_store_crashes.py
@@ -5,6 +5,7 @@
 from __future__ import annotations
 
 import random
+import threading
 from collections.abc import Callable
 from contextlib import suppress
 from typing import Any
@@ -14,7 +15,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
-from heronreel.store import Damaged, Store, UnknownFormat, WriteFailed
+from heronreel.store import Damaged, Limits, Lost, Store, UnknownFormat, WriteFailed
 from heronreel.store.check import repair, verify
 from heronreel.store.simulated import Crash, Fault, SimulatedDisk
 from tests.stores import TINY, Judge, content, play, script
@@ -263,6 +264,62 @@
     assert not verify(disk).sound
 
 
+@pytest.mark.parametrize("steps", range(12, 26))
+def test_a_merge_under_way_at_the_first_write_keeps_its_files(steps: int) -> None:
+    """The first write after an opening begins the log and tidies up: not what no manifest names yet."""
+    disk = SimulatedDisk()
+    with Store.open(disk, limits=TINY) as store:
+        for number in range(40):
+            store.put(b"%02d" % number, bytes(60))
+        store.maintain()
+        expected = content(store)
+    with Store.open(disk, limits=TINY) as store:
+        runs = store._view.runs
+        store._merge = store._merging(runs, oldest=True)  # as compact() begins it
+        for _ in range(steps):
+            store.maintain(1)
+        store.put(b"first", b"write")
+        store.maintain()
+    assert content(Store.open(disk, limits=TINY)) == expected | {b"first": b"write"}
+
+
+def test_damage_met_by_a_reader_ends_a_flush_that_writers_wait_for() -> None:
+    disk = SimulatedDisk()
+    store = Store.open(disk, limits=TINY)
+    store.put(b"a", bytes(40))
+
+    def watch(moment: str, call: str, name: str) -> None:
+        if name.endswith(".table"):
+            store._met(Damaged((Lost("00000001.table", 0, 1, "all", "a reader met it"),)))
+
+    disk.watch = watch
+    raised: list[BaseException] = []
+
+    def compact() -> None:
+        try:
+            store.compact()
+        except Damaged as damaged:
+            raised.append(damaged)
+
+    thread = threading.Thread(target=compact, daemon=True)
+    thread.start()
+    thread.join(20.0)  # it took milliseconds, or it hangs
+    assert not thread.is_alive() and raised
+
+
+def test_large_writes_do_not_outrun_the_merges() -> None:
+    limits = Limits(memory=1 << 16, segment=1 << 16, log=1 << 18, part=1 << 18, step=1024, sync_every=1 << 14)
+    disk = SimulatedDisk()
+    store = Store.open(disk, limits=limits)
+    most = used = 0
+    for number in range(400):
+        store.put(b"%d" % (number % 8), bytes(1 << 15))
+        most = max(most, len(store._view.runs))
+        used = max(used, disk.used)
+    assert most <= 8
+    assert used < 4 * 8 * (1 << 15) + 2 * limits.log + 4 * limits.memory
+
+
 class DamagedStores:
     """Ways to spoil a store whose log and runs hold something, and what repair is to save."""
 
