Store: one way each to seal, decode, queue, read a folder and tell what a block lost

The reading found twins: four checksums of headers, two encodings of the same operation, three readings of manifest, runs and log, two queues, two wordings of a lost block, four listings of numbered files, a copy of msgspec's replace, and repair's own reader of the log. Each is one piece now. An opening read each segment twice and a third time to know its length: it reads the header's bytes and then the whole once. Dead state is gone (a mark seen, the last end, done).

--- a/bench/store_mutations.py
+++ b/bench/store_mutations.py
@@ -36,12 +36,11 @@
      "    if xxhash.xxh3_64_intdigest(memoryview(data)[offset + 8 : last], salt) != checksum:\n        return None\n",
      "    del checksum, salt\n"),
     ("a block's checksum not checked", "tables.py",
-     "            or xxhash.xxh3_64_intdigest(memoryview(data)[8:], (self.header.salt + offset) & MASK)\n"
-     "            != int.from_bytes(data[:8], \"little\")\n", ""),
+     "            or digest(memoryview(data)[8:], (self.header.salt + offset) & MASK) != data[:8]\n", ""),
     ("old tables removed before the manifest", STORE,
-     "        self._install(self._changed(runs=[run_entry(run.info) for run in now]))\n",
+     "        self._install(runs=[run_entry(run.info) for run in now])\n",
      "        for run in runs:\n            for part in run.info.parts:\n                _remove(self._disk, part.file)\n"
-     "        self._install(self._changed(runs=[run_entry(run.info) for run in now]))\n"),
+     "        self._install(runs=[run_entry(run.info) for run in now])\n"),
     ("old segments removed before the manifest", STORE,
      "        yield 1\n        runs = [*self._manifest.runs",
      "        yield 1\n        for number in range(log_from):\n            _remove(self._disk, frames.file_name(number))\n"
@@ -64,9 +63,12 @@
     ("deletions dropped while older runs are there", STORE, "not oldest, \"merged\")", "False, \"merged\")"),
     ("writes are seen before they are durable", STORE, "            self._append(payload)\n            self._apply(group)\n",
      "            self._apply(group)\n            self._append(payload)\n"),
-    ("damage met is not remembered", STORE, "                self._install(self._changed(damage=[*self._manifest.damage, *fresh]))\n",
+    ("damage met is not remembered", STORE, "                self._install(damage=[*self._manifest.damage, *fresh])\n",
      "                pass\n"),
     ("a reader beside a writer reads on", "opening.py", "    return (number, durable) if magic == NOTE_MAGIC else None\n", "    return None\n"),
+    ("a first write tidies up tables too", STORE, "            self._remove_segments(self._header.number)\n",
+     "            self._clean()\n"),
+    ("a write pays for four steps at most", STORE, "max(earned, 4 * limits.step)", "4 * limits.step"),
 ]  # fmt: skip
 
 
--- a/heronreel/store/aio.py
+++ b/heronreel/store/aio.py
@@ -45,8 +45,7 @@
         self._async = store
 
     async def acommit(self) -> None:
-        operations, self._operations, self._size = list(self._operations.items()), {}, 0
-        if operations:
+        if operations := self.taken():
             await self._async.write(operations)
 
     async def __aenter__(self) -> AsyncBatch:
--- a/heronreel/store/check.py
+++ b/heronreel/store/check.py
@@ -15,9 +15,9 @@
 from heronreel.store import frames
 from heronreel.store.disk import Disk, RealDisk, read_whole
 from heronreel.store.errors import Damaged, InvalidArgument, Lost
-from heronreel.store.frames import Dropped, LogReader, Operation, SegmentHeader
+from heronreel.store.frames import Dropped, Operation, SegmentHeader
 from heronreel.store.manifest import MANIFEST, Manifest, decode_manifest, run_entry
-from heronreel.store.opening import log_numbers, open_runs, read_log
+from heronreel.store.opening import log_numbers, read_contents, read_log
 from heronreel.store.store import Store
 from heronreel.store.tables import (
     BLOCK,
@@ -79,8 +79,8 @@
         return found
     infos = manifest.run_infos
     whole = sum(run.size for run in infos) or 1
-    runs, lost = open_runs(disk, manifest)
-    found.lost += lost
+    contents = read_contents(disk, manifest)
+    found.lost += contents.lost
     named = {MANIFEST, "LOCK"}
     done = 0
     for at, run in enumerate(infos):
@@ -95,27 +95,19 @@
             )
     if infos and manifest.next_sequence != infos[-1].high + 1 and infos[-1].high >= manifest.next_sequence:
         found.lost.append(Lost(MANIFEST, 0, 0, "the last run", "it reaches into the log"))
-    for run_open in runs:
+    for run_open in contents.runs:
         for table in run_open.tables:
             named |= {table.info.file, index_name(table.info.number)}
             _verify_table(disk, table, found)
             done += table.info.size
             if progress:
                 progress(done, whole)
-    memory, log = read_log(disk, manifest, None)
-    found.lost += log.lost
-    found.dropped += log.dropped
-    found.records += len(memory)
+    found.dropped += contents.log.dropped
+    found.records += len(contents.memory)
     numbers = log_numbers(disk, manifest)
     found.files += len(numbers)
-    found.bytes += log.bytes
+    found.bytes += contents.log.bytes
     named |= {frames.file_name(number) for number in numbers}
-    known = {(lost.file, lost.offset) for lost in found.lost}
-    found.lost += [
-        Lost(d.file, d.offset, d.length, d.records, d.why)
-        for d in manifest.damage
-        if (d.file, d.offset) not in known
-    ]
     found.notes += [
         f"{name}: no manifest names it; the next opening removes it" for name in sorted(names - named)
     ]
@@ -185,14 +177,7 @@
             following = next((place for place in places if place > offset), end)
         else:
             following = _next_block(file.read(offset, end - offset), offset, header.salt)
-        words = f"records of keys between {info.first!r} and {info.last!r}"
-        if index is not None and offset in index.offsets:
-            place = index.offsets.index(offset)
-            until = f", to {info.last!r}"
-            if place + 1 < len(index.firsts):
-                until = f", before {index.firsts[place + 1]!r}"
-            words = f"records of keys from {index.firsts[place]!r} on{until}"
-        lost = Lost(info.file, offset, following - offset, words, "the block's checksum does not hold")
+        lost = table.lost_at(offset, following - offset)
         yield offset, b"", lost
         offset = following
 
@@ -244,20 +229,7 @@
         raise InvalidArgument("source: a writer has it open")
     found = Repaired()
     manifest = _manifest_left(read, found)
-    memory: dict[bytes, bytes | None] = {}
-
-    def apply(_: int, operations: list[Operation]) -> None:
-        memory.update(operations)
-
-    numbers = log_numbers(read, manifest)
-    reader = LogReader(
-        lambda number: read_whole(read, frames.file_name(number)) if number in numbers else b"",
-        bytes.fromhex(manifest.store),
-        manifest.log_from,
-        manifest.next_sequence,
-        apply,
-    )
-    log = reader.run(numbers)
+    memory, log = read_log(read, manifest, None)
     found.lost += log.lost
     found.dropped += log.dropped
     if log.lost:
@@ -368,13 +340,12 @@
             continue
         chosen.append((reach, parts))
     segments: list[SegmentHeader] = []
-    for name in names:
-        stem, _, kind = name.partition(".")
-        if kind == "log" and stem.isdigit():
-            head = SegmentHeader.decode(read_whole(disk, name)[: frames.HEADER_BYTES], name)
-            if head is not None:
-                store = store or head.store.hex()
-                segments.append(head)
+    for number in frames.numbers_of(names, "log"):
+        name = frames.file_name(number)
+        head = SegmentHeader.decode(read_whole(disk, name, frames.HEADER_BYTES), name)
+        if head is not None:
+            store = store or head.store.hex()
+            segments.append(head)
     segments.sort(key=lambda head: head.number)
     reached = chosen[-1][0][1] if chosen else 0
     # Segments wholly in the runs may still be there: the log counts from the last one that begins at or
--- a/heronreel/store/disk.py
+++ b/heronreel/store/disk.py
@@ -99,11 +99,11 @@
         taken += file.write(view[taken:])
 
 
-def read_whole(disk: Disk, name: str) -> bytes:
-    """All bytes of a file."""
+def read_whole(disk: Disk, name: str, most: int | None = None) -> bytes:
+    """All bytes of a file, or the first `most` of them."""
     file = disk.open(name)
     try:
-        return file.read(0, file.size())
+        return file.read(0, file.size() if most is None else most)
     finally:
         file.close()
 
--- a/heronreel/store/frames.py
+++ b/heronreel/store/frames.py
@@ -20,12 +20,12 @@
 
 import xxhash
 
-from heronreel.store.errors import Lost, UnknownFormat
+from heronreel.store.errors import Lost
+from heronreel.store.seal import FORMAT, SEAL_BYTES, digest, know_format, sealed, unsealed
 
-FORMAT = 1
 MAGIC = b"HRNLOG\r\n"
 _HEADER = struct.Struct("<8sII16sQQQQ")
-HEADER_BYTES = _HEADER.size + 8
+HEADER_BYTES = _HEADER.size + SEAL_BYTES
 _FRAME = struct.Struct("<QIB3xQQ")
 FRAME_BYTES = _FRAME.size
 FRAGMENT_MOST = 1 << 20
@@ -58,31 +58,17 @@
     fresh: bool = False  # made by an opening: nothing to the log, unless a manifest begins the log with it
 
     def encode(self) -> bytes:
-        body = _HEADER.pack(
-            MAGIC,
-            FORMAT,
-            self.fresh,
-            self.store,
-            self.number,
-            self.first_sequence,
-            self.former_end,
-            self.salt,
-        )
-        return body + xxhash.xxh3_64_intdigest(body).to_bytes(8, "little")
+        fields = (self.fresh, self.store, self.number, self.first_sequence, self.former_end, self.salt)
+        return sealed(_HEADER.pack(MAGIC, FORMAT, *fields))
 
     @classmethod
     def decode(cls, data: bytes, file: str) -> SegmentHeader | None:
         """The header at the begin of `data`, None where it is no whole one; UnknownFormat for a newer one."""
-        if len(data) < HEADER_BYTES:
+        body = unsealed(data, _HEADER.size)
+        if body is None or not body.startswith(MAGIC):
             return None
-        body = data[: _HEADER.size]
-        if xxhash.xxh3_64_intdigest(body).to_bytes(8, "little") != data[_HEADER.size : HEADER_BYTES]:
-            return None
-        magic, version, fresh, store, number, first, former_end, salt = _HEADER.unpack(body)
-        if magic != MAGIC:
-            return None
-        if version != FORMAT:
-            raise UnknownFormat(f"{file}: format {version}, and this program knows {FORMAT}")
+        _, version, fresh, store, number, first, former_end, salt = _HEADER.unpack(body)
+        know_format(version, file)
         return cls(store, number, first, former_end, salt, bool(fresh))
 
 
@@ -96,23 +82,24 @@
     payload: bytes
 
 
+def encode_operation(key: bytes, value: bytes | None) -> bytes:
+    """As it lies in a group of the log and in a block of a table."""
+    if value is None:
+        return _OPERATION.pack(len(key), _DELETED) + key
+    return _OPERATION.pack(len(key), len(value)) + key + value
+
+
 def encode_operations(operations: list[Operation]) -> bytes:
-    pack = _OPERATION.pack
-    parts = []
-    for key, value in operations:
-        if value is None:
-            parts.append(pack(len(key), _DELETED) + key)
-        else:
-            parts.append(pack(len(key), len(value)) + key + value)
-    return b"".join(parts)
+    return b"".join([encode_operation(key, value) for key, value in operations])
+
 
+def decode_operations(data: bytes, at: int = 0) -> list[Operation]:
+    """Those in `data` from `at` on.
 
-def decode_operations(data: bytes) -> list[Operation]:
-    """ValueError where `data` is no whole number of operations; a frame whose checksum holds never is
-    such.
+    ValueError where it is no whole number of them; a frame or block whose checksum holds never is such.
     """
     operations: list[Operation] = []
-    at, end = 0, len(data)
+    end = len(data)
     while at < end:
         try:
             key_length, value_length = _OPERATION.unpack_from(data, at)
@@ -134,7 +121,7 @@
 def encode_frame(salt: int, kind: Kind, sequence: int, durable: int, payload: bytes | memoryview) -> bytes:
     rest = _FRAME.pack(0, len(payload), kind, sequence, durable)[8:] + payload
     padding = b"\0" * (-len(payload) % _ALIGN)
-    return xxhash.xxh3_64_intdigest(rest, salt).to_bytes(8, "little") + rest + padding
+    return digest(rest, salt) + rest + padding
 
 
 def decode_frame(data: bytes, offset: int, end: int, salt: int) -> Frame | None:
@@ -185,8 +172,6 @@
     groups: int = 0
     bytes: int = 0
     last_number: int = 0
-    last_end: int = 0  # bytes of the last segment that count
-    marked: bool = False  # it ends with a mark: nothing of its end can have gone unseen
     dropped: list[Dropped] = field(default_factory=list)
     lost: list[Lost] = field(default_factory=list)
 
@@ -195,17 +180,23 @@
     return f"{number:08}.log"
 
 
+def numbers_of(names: list[str], kind: str) -> list[int]:
+    """The numbers of the files of a kind ("log", "table", "index"), in their order."""
+    split = [name.partition(".") for name in names]
+    return sorted(int(stem) for stem, _, ending in split if ending == kind and stem.isdigit())
+
+
 class LogReader:
     """Reads the segments of a log in their order and hands on each whole group.
 
-    `read` gives a segment's bytes by its number, at most one segment is held at a time.  `durable` is the
-    segment and the byte up to which a live writer has told that its log is durable: nothing behind it is
-    looked at.
+    `read` gives a segment's bytes by its number, all or as many as wanted; one whole segment is held at a
+    time.  `durable` is the segment and the byte up to which a live writer has told that its log is durable:
+    nothing behind it is looked at.
     """
 
     def __init__(
         self,
-        read: Callable[[int], bytes],
+        read: Callable[[int, int | None], bytes],
         store: bytes,
         first_number: int,
         first_sequence: int,
@@ -236,8 +227,8 @@
             following = headers[place + 1][1] if place + 1 < len(headers) else None
             if place and number != headers[place - 1][0] + 1:
                 self._lose(number - 1, 0, 0, "the file is missing", f"groups from {state.next_sequence} on")
-            state.last_number, state.last_end = number, 0
-            data = self._read(number)
+            state.last_number = number
+            data = self._read(number, None)
             state.bytes += len(data)
             if header is None:
                 words = f"groups from {state.next_sequence} on"
@@ -257,10 +248,8 @@
         return state
 
     def _headers(self, numbers: list[int]) -> list[tuple[int, SegmentHeader | None]]:
-        headers = [
-            (number, SegmentHeader.decode(self._read(number)[:HEADER_BYTES], file_name(number)))
-            for number in numbers
-        ]
+        begins = {number: self._read(number, HEADER_BYTES + 1) for number in numbers}
+        headers = [(number, SegmentHeader.decode(data, file_name(number))) for number, data in begins.items()]
         # A segment's header is durable before its first frame is written, and before a manifest names it.
         # So a last segment without frames whose header is torn, or bytes that another file left there, is a
         # creation cut off. One that an opening made counts from the manifest on that begins the log with
@@ -268,7 +257,7 @@
         while headers and headers[-1][0] != self._first:
             number, header = headers[-1]
             whole = header is not None and header.number == number and header.store == self._store
-            length = len(self._read(number))
+            length = len(begins[number])
             if length > HEADER_BYTES or (whole and header and not header.fresh):
                 break
             headers.pop()
@@ -320,15 +309,11 @@
                 continue
             self._frame(number, frame)
             at = frame.end
-            state.last_end = at
-        state.last_end = max(state.last_end, HEADER_BYTES)
 
     def _frame(self, number: int, frame: Frame) -> None:
         state = self.state
         if frame.kind is Kind.MARK:
-            state.marked = True
             return
-        state.marked = False
         if frame.sequence != state.next_sequence:
             if frame.sequence < state.next_sequence:
                 self._lose(number, frame.offset, frame.end - frame.offset, "out of order", "an older group")
--- a/heronreel/store/manifest.py
+++ b/heronreel/store/manifest.py
@@ -7,13 +7,12 @@
 from __future__ import annotations
 
 import re
-from typing import Any
 
 import msgspec
 import xxhash
 
-from heronreel.store.errors import UnknownFormat
-from heronreel.store.frames import FORMAT
+from heronreel.store.errors import Lost
+from heronreel.store.seal import FORMAT, know_format
 from heronreel.store.tables import RunInfo, TableInfo
 
 MANIFEST = "MANIFEST"
@@ -57,6 +56,11 @@
     runs: list[RunEntry]
     damage: list[DamageEntry] = []
 
+    @property
+    def lost(self) -> list[Lost]:
+        """The damage that it remembers."""
+        return [Lost(d.file, d.offset, d.length, d.records, d.why) for d in self.damage]
+
     @property
     def run_infos(self) -> list[RunInfo]:
         return [
@@ -97,9 +101,9 @@
     if not line:
         # the line of any later format begins alike, whatever may follow
         if later := re.match(rb"heronreel-store (\d{1,9}) ", data):
-            _know(int(later[1]))
+            know_format(int(later[1]), MANIFEST)
         return None
-    _know(int(line[1]))
+    know_format(int(line[1]), MANIFEST)
     body = data[line.end() :]
     if len(body) != int(line[2]) or xxhash.xxh3_64_intdigest(body) != int(line[3], 16):
         return None
@@ -109,14 +113,3 @@
     except (msgspec.DecodeError, ValueError):
         return None
     return manifest
-
-
-def _know(version: int) -> None:
-    if version != FORMAT:
-        raise UnknownFormat(f"{MANIFEST}: format {version}, and this program knows {FORMAT}")
-
-
-def describe(manifest: Manifest) -> dict[str, Any]:
-    """The manifest as plain data, for `stat --json`."""
-    told: dict[str, Any] = msgspec.to_builtins(manifest)
-    return told
--- a/heronreel/store/opening.py
+++ b/heronreel/store/opening.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import struct
+from contextlib import suppress
+from dataclasses import dataclass
 
 from heronreel.store import frames
 from heronreel.store.disk import LOCK, Disk, read_whole
@@ -65,11 +67,7 @@
 
 
 def log_numbers(disk: Disk, manifest: Manifest) -> list[int]:
-    numbers = [
-        int(stem) for stem, _, kind in (name.partition(".") for name in disk.names())
-        if kind == "log" and stem.isdigit()
-    ]  # fmt: skip
-    return sorted(number for number in numbers if number >= manifest.log_from)
+    return [number for number in frames.numbers_of(disk.names(), "log") if number >= manifest.log_from]
 
 
 def read_log(
@@ -80,11 +78,10 @@
     def apply(_: int, operations: list[Operation]) -> None:
         memory.update(operations)
 
-    def read(number: int) -> bytes:
-        try:
-            return read_whole(disk, frames.file_name(number))
-        except FileNotFoundError:
-            return b""
+    def read(number: int, most: int | None) -> bytes:
+        with suppress(FileNotFoundError):
+            return read_whole(disk, frames.file_name(number), most)
+        return b""
 
     reader = LogReader(
         read, bytes.fromhex(manifest.store), manifest.log_from, manifest.next_sequence, apply, durable
@@ -92,6 +89,24 @@
     return memory, reader.run(log_numbers(disk, manifest))
 
 
+@dataclass(frozen=True, slots=True)
+class Contents:
+    """What a manifest's files hold, and what of them is lost."""
+
+    runs: list[Run]
+    memory: dict[bytes, bytes | None]
+    log: LogState
+    lost: list[Lost]
+
+
+def read_contents(disk: Disk, manifest: Manifest, durable: tuple[int, int] | None = None) -> Contents:
+    runs, lost = open_runs(disk, manifest)
+    memory, log = read_log(disk, manifest, durable)
+    known = {(each.file, each.offset) for each in [*lost, *log.lost]}
+    remembered = [each for each in manifest.lost if (each.file, each.offset) not in known]
+    return Contents(runs, memory, log, [*lost, *log.lost, *remembered])
+
+
 def durable_of(note: bytes | None) -> tuple[int, int] | None:
     """What a live writer has told: segment and bytes of it that are durable."""
     if note is None or len(note) < NOTE.size:
--- a/heronreel/store/simulated.py
+++ b/heronreel/store/simulated.py
@@ -35,6 +35,9 @@
     error: int  # an errno
     partial: int = 0  # of a write: bytes taken before the error shows; then it is a short write
 
+    def raised(self, name: str) -> OSError:
+        return OSError(self.error, os.strerror(self.error), name)
+
 
 Watch = Callable[[str, str, str], None]  # moment ("before", "during", "after"), call, name
 Faults = Callable[[str, str], Fault | None]  # call, name
@@ -131,18 +134,6 @@
         pass
 
 
-@dataclass(slots=True)
-class _Fault:
-    fault: Fault
-
-    @property
-    def partial(self) -> int:
-        return self.fault.partial
-
-    def raised(self, name: str) -> OSError:
-        return OSError(self.fault.error, os.strerror(self.fault.error), name)
-
-
 class _Call:
     """One call to the disk, told to whoever watches."""
 
@@ -150,13 +141,12 @@
         self._disk = disk
         self._told = call, name
         self._changes = changes
-        self.fault: _Fault | None = None
+        self.fault: Fault | None = None
 
     def __enter__(self) -> _Call:
         self._disk._alive()
         self._disk.calls += 1
-        found = self._disk.fault(*self._told) if self._disk.fault else None
-        self.fault = _Fault(found) if found else None
+        self.fault = self._disk.fault(*self._told) if self._disk.fault else None
         self._tell("before")
         return self
 
@@ -270,7 +260,7 @@
         room = self.capacity - self.used
         if wanted and room <= 0:
             self._alive()
-            raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC), name)
+            raise Fault(errno.ENOSPC).raised(name)
         return min(room, wanted)
 
     def _forget(self, content: _Content) -> None:
@@ -303,7 +293,7 @@
             if call.fault:
                 raise call.fault.raised(name)
             if name not in self._names:
-                raise FileNotFoundError(errno.ENOENT, os.strerror(errno.ENOENT), name)
+                raise Fault(errno.ENOENT).raised(name)
         return SimulatedFile(self, name, self._names[name])
 
     def rename(self, old: str, new: str) -> None:
@@ -321,7 +311,7 @@
             if call.fault:
                 raise call.fault.raised(name)
             if name not in self._names:
-                raise FileNotFoundError(errno.ENOENT, os.strerror(errno.ENOENT), name)
+                raise Fault(errno.ENOENT).raised(name)
             content = self._names.pop(name)
             self._forget(content)
             self._changes.append((name, None, content))
--- a/heronreel/store/store.py
+++ b/heronreel/store/store.py
@@ -16,10 +16,12 @@
 from collections import deque
 from collections.abc import Callable, Iterator
 from contextlib import suppress
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from types import TracebackType
 from typing import Any, NoReturn
 
+from msgspec.structs import replace
+
 from heronreel.store import frames, levels
 from heronreel.store.disk import Disk, DiskFile, LockFile, RealDisk, write_whole
 from heronreel.store.errors import (
@@ -41,7 +43,15 @@
     encode_manifest,
     run_entry,
 )
-from heronreel.store.opening import NOTE, NOTE_MAGIC, durable_of, open_runs, read_log, read_manifest, sync_log
+from heronreel.store.opening import (
+    NOTE,
+    NOTE_MAGIC,
+    Contents,
+    durable_of,
+    read_contents,
+    read_manifest,
+    sync_log,
+)
 from heronreel.store.tables import (
     Index,
     Record,
@@ -111,17 +121,16 @@
     longest_step_ms: float = 0.0  # of one step of merging or flushing, its fsyncs with it
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class _Ticket:
     """A write under way."""
 
     payload: bytes
     operations: list[Operation]
-    turn: threading.Lock
     hold: bool = False  # it wants the lead for itself, and is in no group
     lead: bool = False
-    done: bool = False
     error: BaseException | None = None
+    turn: threading.Lock = field(default_factory=threading.Lock)
 
 
 class Batch:
@@ -148,10 +157,14 @@
         self._size = size
         self._operations[key] = value
 
+    def taken(self) -> list[Operation]:
+        """What is in the batch, which is empty from then on."""
+        operations, self._operations, self._size = list(self._operations.items()), {}, 0
+        return operations
+
     def commit(self) -> None:
         """Write what is in the batch, and empty it.  Raises as `Store.put` does."""
-        operations, self._operations, self._size = list(self._operations.items()), {}, 0
-        if operations:
+        if operations := self.taken():
             self._store.write([operations])
 
     def __enter__(self) -> Batch:
@@ -266,20 +279,16 @@
         manifest = read_manifest(disk)
         if manifest is None:
             manifest = Manifest(secrets.token_hex(16), 0, 1, 1, 1, [])
-            log = LogState(1)
-            memory: dict[bytes, bytes | None] = {}
-            runs: list[Run] = []
+            found = Contents([], {}, LogState(1), [])
         else:
-            runs, lost = open_runs(disk, manifest)
-            memory, log = read_log(disk, manifest, None)
-            lost += log.lost
-            lost += [Lost(d.file, d.offset, d.length, d.records, d.why) for d in manifest.damage]
-            if lost:
-                raise Damaged(tuple(lost))
+            found = read_contents(disk, manifest)
+            if found.lost:
+                raise Damaged(tuple(found.lost))
+        log = found.log
         self.dropped = tuple(log.dropped)
         self._manifest = manifest
         self._next_sequence = log.next_sequence
-        self._view = View({}, memory, tuple(runs))
+        self._view = View({}, found.memory, tuple(found.runs))
         # What the log holds is written anew and synced, and a new segment begun, before anything is
         # answered: the pages that were just read may be in memory only (a crash could still take them, and
         # an fsync that has failed once says nothing about them later), and nothing is ever written behind a
@@ -288,7 +297,8 @@
         self._header = SegmentHeader(b"", log.last_number, 0, 0, 0)
         if manifest.generation == 0 or log.groups:
             self._begin_log()
-            flush = self._flushing(memory, manifest.next_sequence, log.next_sequence - 1, self._header.number)
+            until = log.next_sequence - 1, self._header.number
+            flush = self._flushing(found.memory, manifest.next_sequence, *until)
             for _ in flush:
                 pass
         self._clean()
@@ -299,25 +309,22 @@
             raise FileNotFoundError(errno.ENOENT, "no store", str(getattr(disk, "path", "")))
         for attempt in range(20):
             note = disk.note()
-            found = read_manifest(disk)
-            if found is None:
+            manifest = read_manifest(disk)
+            if manifest is None:
                 raise FileNotFoundError(errno.ENOENT, "no store", str(getattr(disk, "path", "")))
-            manifest = found
-            runs, lost = open_runs(disk, manifest)
-            memory, log = read_log(disk, manifest, durable_of(note))
+            found = read_contents(disk, manifest, durable_of(note))
             # the writer may have removed what was about to be opened: then there is a newer manifest
-            if attempt == 19 or not (lost or log.lost) or read_manifest(disk) == manifest:
+            if not found.lost or attempt == 19 or read_manifest(disk) == manifest:
                 break
-        lost += log.lost
-        lost += [Lost(d.file, d.offset, d.length, d.records, d.why) for d in manifest.damage]
+        assert manifest
         if durable_of(note) is None:
             sync_log(disk, manifest)  # what is shown must not be taken back by a loss of power
         self._manifest = manifest
-        self.lost = tuple(lost)
-        self.dropped = tuple(log.dropped)
-        self._next_sequence = log.next_sequence
+        self.lost = tuple(found.lost)
+        self.dropped = tuple(found.log.dropped)
+        self._next_sequence = found.log.next_sequence
         with self._state:
-            self._view = View(memory, {}, tuple(runs))
+            self._view = View(found.memory, {}, tuple(found.runs))
             self._shared = True
 
     def refresh(self) -> None:
@@ -332,18 +339,15 @@
 
         What can't be removed is left for the next opening.
         """
-        manifest = self._manifest
-        named = {part.number for run in manifest.runs for part in run.parts}
-        for name in self._disk.names():
-            stem, _, kind = name.partition(".")
-            if name == MANIFEST_NEW or (
-                stem.isdigit()
-                and (
-                    (kind in ("table", "index") and int(stem) not in named)
-                    or (kind == "log" and int(stem) < manifest.log_from)
-                )
-            ):
-                _remove(self._disk, name)
+        named = {part.number for run in self._manifest.runs for part in run.parts}
+        names = self._disk.names()
+        for kind in ("table", "index"):
+            for number in frames.numbers_of(names, kind):
+                if number not in named:
+                    _remove(self._disk, f"{number:08}.{kind}")
+        if MANIFEST_NEW in names:
+            _remove(self._disk, MANIFEST_NEW)
+        self._remove_segments(self._manifest.log_from)
 
     def close(self) -> None:
         """Settle all writes, move what is in memory to a run, and let the lock go.  Closing twice does
@@ -429,7 +433,7 @@
         ]
         if fresh:
             with suppress(OSError, StoreError):  # it is met again by whoever reads it next
-                self._install(self._changed(damage=[*self._manifest.damage, *fresh]))
+                self._install(damage=[*self._manifest.damage, *fresh])
 
     # -- writing
 
@@ -458,16 +462,8 @@
         """
         self._check_writable()
         operations = [operation for batch in batches for operation in batch]
-        ticket = _Ticket(frames.encode_operations(operations), operations, threading.Lock())
-        ticket.turn.acquire()
-        with self._gate:
-            if self._closed:
-                raise StoreClosed("the store is closed")
-            self._queue.append(ticket)
-            if not self._leading:
-                self._leading = ticket.lead = True
-        if not ticket.lead:
-            self._wait_for_turn(ticket)
+        ticket = _Ticket(frames.encode_operations(operations), operations)
+        self._queue_up(ticket)
         if ticket.lead:
             self._lead()
         if ticket.error is not None:
@@ -503,7 +499,7 @@
         except BaseException as raised:
             error = raised
         for ticket in group:
-            ticket.done, ticket.error = True, error
+            ticket.error = error
         with self._gate:
             self._pass_the_lead()  # first: the disk should not wait until the others have woken up
         for ticket in group:
@@ -518,10 +514,20 @@
         else:
             self._leading = False
 
-    def _wait_for_turn(self, ticket: _Ticket) -> None:
-        """Until the ticket was written or has the lead.  A thread interrupted here leaves the queue in
-        order.
+    def _queue_up(self, ticket: _Ticket) -> None:
+        """Wait until the ticket was written or has the lead.
+
+        A thread interrupted here leaves the queue in order.
         """
+        ticket.turn.acquire()
+        with self._gate:
+            if self._closed and not ticket.hold:
+                raise StoreClosed("the store is closed")
+            self._queue.append(ticket)
+            if not self._leading:
+                self._leading = ticket.lead = True
+        if ticket.lead:
+            return
         try:
             ticket.turn.acquire()
         except BaseException:
@@ -631,7 +637,7 @@
         with self._maintenance:
             self._begin_log()
             try:
-                self._install(self._changed(log_from=self._header.number))
+                self._install(log_from=self._header.number)
             except OSError:
                 self._segment = None  # begun again by the next write
                 raise
@@ -862,7 +868,7 @@
                         bytes.fromhex(self._manifest.store), self._manifest.next_file, low, high,
                         len(finished), secrets.randbits(64),
                     )  # fmt: skip
-                    self._manifest = self._changed(next_file=header.number + 1)
+                    self._manifest = replace(self._manifest, next_file=header.number + 1)
                     writer = TableWriter(self._disk, header, limits.block)
                     self._making.append(writer)
                     unsynced = 0
@@ -898,7 +904,7 @@
                     yield step
         yield 1
         runs = [*self._manifest.runs, *([run_entry(run.info)] if run else [])]
-        self._install(self._changed(log_from=log_from, next_sequence=high + 1, runs=runs))
+        self._install(log_from=log_from, next_sequence=high + 1, runs=runs)
         if run:
             self._forget_made(run)
         with self._state:
@@ -908,10 +914,9 @@
 
     def _remove_segments(self, before: int) -> None:
         """Of the log, by a manifest that begins it with `before`."""
-        for name in self._disk.names():
-            stem, _, kind = name.partition(".")
-            if kind == "log" and stem.isdigit() and int(stem) < before:
-                _remove(self._disk, name)
+        for number in frames.numbers_of(self._disk.names(), "log"):
+            if number < before:
+                _remove(self._disk, frames.file_name(number))
 
     def _merging(self, runs: tuple[Run, ...], oldest: bool) -> Iterator[int]:
         """Write neighbouring runs as one; then their files are no more needed."""
@@ -928,7 +933,7 @@
         assert view.runs[at : at + len(runs)] == runs
         replaced = [merged] if merged else []
         now = (*view.runs[:at], *replaced, *view.runs[at + len(runs) :])
-        self._install(self._changed(runs=[run_entry(run.info) for run in now]))
+        self._install(runs=[run_entry(run.info) for run in now])
         if merged:
             self._forget_made(merged)
         with self._state:
@@ -944,21 +949,14 @@
         numbers = {part.number for part in run.info.parts}
         self._made = [info for info in self._made if info.number not in numbers]
 
-    def _changed(self, **fields: Any) -> Manifest:
-        old = {name: getattr(self._manifest, name) for name in Manifest.__struct_fields__}
-        return Manifest(**{**old, **fields})
-
-    def _install(self, manifest: Manifest) -> None:
-        """Make `manifest` the one in force.
+    def _install(self, **changes: Any) -> None:
+        """Make the manifest with `changes` the one in force.
 
         OSError before the rename leaves the old one in force.  After it nobody can say which one a crash
         would leave: both are whole, and their files are all there, so writes end and nothing is removed.
         """
         disk = self._disk
-        manifest = Manifest(
-            **{name: getattr(manifest, name) for name in Manifest.__struct_fields__ if name != "generation"},
-            generation=self._manifest.generation + 1,
-        )
+        manifest = replace(self._manifest, generation=self._manifest.generation + 1, **changes)
         file = disk.create(MANIFEST_NEW)
         try:
             write_whole(file, encode_manifest(manifest))
@@ -1037,14 +1035,8 @@
 
     def _hold_writes(self) -> None:
         """Take the lead of the queue, with nothing to write: until it is passed on, no write is under way."""
-        ticket = _Ticket(b"", [], threading.Lock(), hold=True)
-        ticket.turn.acquire()
-        with self._gate:
-            self._queue.append(ticket)
-            if not self._leading:
-                self._leading = ticket.lead = True
-        if not ticket.lead:
-            self._wait_for_turn(ticket)
+        ticket = _Ticket(b"", [], hold=True)
+        self._queue_up(ticket)
         with self._gate:
             self._queue.remove(ticket)
 
--- a/heronreel/store/tables.py
+++ b/heronreel/store/tables.py
@@ -8,23 +8,24 @@
 from __future__ import annotations
 
 import struct
-from bisect import bisect_right
+from bisect import bisect_left, bisect_right
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 import xxhash
 
 from heronreel.store.disk import Disk, DiskFile, read_whole, write_whole
-from heronreel.store.errors import Damaged, Lost, UnknownFormat
-from heronreel.store.frames import FORMAT
+from heronreel.store.errors import Damaged, Lost
+from heronreel.store.frames import Operation, decode_operations, encode_operation
+from heronreel.store.seal import FORMAT, SEAL_BYTES, digest, know_format, sealed, unsealed
 
 MAGIC = b"HRNTBL\r\n"
 END_MAGIC = b"HRNTEND\n"
 INDEX_MAGIC = b"HRNIDX\r\n"
 _HEADER = struct.Struct("<8sII16sQQQIIQ")
-HEADER_BYTES = _HEADER.size + 8
+HEADER_BYTES = _HEADER.size + SEAL_BYTES
 _FOOTER = struct.Struct("<8sIIQQQ")
-FOOTER_BYTES = _FOOTER.size + 8
+FOOTER_BYTES = _FOOTER.size + SEAL_BYTES
 BLOCK = struct.Struct("<QII")
 BLOCK_BYTES = BLOCK.size
 _ENTRY = struct.Struct("<HI")
@@ -36,7 +37,7 @@
 FILTER_STEP = 4096  # keys put into a filter at once: some milliseconds
 MASK = (1 << 64) - 1
 
-Record = tuple[bytes, bytes | None]
+Record = Operation
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,23 +50,19 @@
     salt: int
 
     def encode(self) -> bytes:
-        body = _HEADER.pack(
-            MAGIC, FORMAT, 0, self.store, self.number, self.low, self.high, self.part, 0, self.salt
+        return sealed(
+            _HEADER.pack(
+                MAGIC, FORMAT, 0, self.store, self.number, self.low, self.high, self.part, 0, self.salt
+            )
         )
-        return body + xxhash.xxh3_64_intdigest(body).to_bytes(8, "little")
 
     @classmethod
     def decode(cls, data: bytes, file: str) -> TableHeader | None:
-        if len(data) < HEADER_BYTES:
+        body = unsealed(data, _HEADER.size)
+        if body is None or not body.startswith(MAGIC):
             return None
-        body = data[: _HEADER.size]
-        if xxhash.xxh3_64_intdigest(body).to_bytes(8, "little") != data[_HEADER.size : HEADER_BYTES]:
-            return None
-        magic, version, _, store, number, low, high, part, _, salt = _HEADER.unpack(body)
-        if magic != MAGIC:
-            return None
-        if version != FORMAT:
-            raise UnknownFormat(f"{file}: format {version}, and this program knows {FORMAT}")
+        _, version, _, store, number, low, high, part, _, salt = _HEADER.unpack(body)
+        know_format(version, file)
         return cls(store, number, low, high, part, salt)
 
 
@@ -79,14 +76,12 @@
 
     def encode(self, salt: int) -> bytes:
         body = _FOOTER.pack(END_MAGIC, self.blocks, self.last_part, self.entries, self.deletions, self.end)
-        return body + xxhash.xxh3_64_intdigest(body, salt).to_bytes(8, "little")
+        return sealed(body, salt)
 
     @classmethod
     def decode(cls, data: bytes, salt: int) -> Footer | None:
-        body = data[: _FOOTER.size]
-        if len(data) != FOOTER_BYTES or data[_FOOTER.size :] != xxhash.xxh3_64_intdigest(body, salt).to_bytes(
-            8, "little"
-        ):
+        body = unsealed(data, _FOOTER.size, salt)
+        if body is None:
             return None
         _, blocks, last, entries, deletions, end = _FOOTER.unpack(body)
         return cls(blocks, bool(last), entries, deletions, end)
@@ -139,35 +134,22 @@
 
 def encode_block(records: list[Record], salt: int, offset: int) -> bytes:
     """The block's own offset goes into its checksum: one read from a wrong place does not pass."""
-    pack = _ENTRY.pack
     offsets: list[int] = []
     parts: list[bytes] = []
     at = 0
     for key, value in records:
-        entry = pack(len(key), _DELETED) + key if value is None else pack(len(key), len(value)) + key + value
         offsets.append(at)
-        parts.append(entry)
-        at += len(entry)
+        parts.append(encode_operation(key, value))
+        at += len(parts[-1])
     body = struct.pack(f"<{len(offsets)}I", *offsets) + b"".join(parts)
     rest = struct.pack("<II", len(body), len(offsets)) + body
-    return xxhash.xxh3_64_intdigest(rest, (salt + offset) & MASK).to_bytes(8, "little") + rest
+    return digest(rest, (salt + offset) & MASK) + rest
 
 
-def decode_block(data: bytes) -> Iterator[Record]:
+def decode_block(data: bytes) -> list[Record]:
     """The records of a block whose checksum holds."""
     _, _, count = BLOCK.unpack_from(data)
-    at = BLOCK_BYTES + 4 * count
-    unpack = _ENTRY.unpack_from
-    for _ in range(count):
-        key_length, value_length = unpack(data, at)
-        at += 6
-        key = data[at : at + key_length]
-        at += key_length
-        if value_length == _DELETED:
-            yield key, None
-        else:
-            yield key, data[at : at + value_length]
-            at += value_length
+    return decode_operations(data, BLOCK_BYTES + 4 * count)
 
 
 def find_in_block(data: bytes, key: bytes) -> tuple[bool, bytes | None]:
@@ -249,22 +231,18 @@
         filter_data = self.filter.data
         keys = b"".join(self.firsts)
         count = len(self.offsets)
-        body = (
+        body: bytes = (
             _INDEX.pack(INDEX_MAGIC, FORMAT, 0, number, salt, count, len(filter_data), len(keys))
             + struct.pack(f"<{count}Q{count}H", *self.offsets, *map(len, self.firsts))
             + filter_data
             + keys
         )
-        return body + xxhash.xxh3_64_intdigest(body, salt).to_bytes(8, "little")
+        return sealed(body, salt)
 
     @classmethod
     def decode(cls, data: bytes, number: int, salt: int) -> Index | None:
         """None for what is no whole index of just that table."""
-        body = memoryview(data)[:-8]
-        if (
-            len(data) < _INDEX.size + 8
-            or xxhash.xxh3_64_intdigest(body, salt).to_bytes(8, "little") != data[-8:]
-        ):
+        if len(data) < _INDEX.size + SEAL_BYTES or unsealed(data, len(data) - SEAL_BYTES, salt) is None:
             return None
         magic, version, _, of_number, of_salt, count, filter_length, _ = _INDEX.unpack_from(data)
         if (magic, version, of_number, of_salt) != (INDEX_MAGIC, FORMAT, number, salt):
@@ -464,7 +442,7 @@
             head = self._file.read(offset, BLOCK_BYTES)
             length = BLOCK_BYTES + BLOCK.unpack(head)[1] if len(head) == BLOCK_BYTES else BLOCK_BYTES
             if offset + length > self.footer.end:
-                raise Damaged((self._lost(offset, self.footer.end - offset),))
+                raise Damaged((self.lost_at(offset, self.footer.end - offset),))
             yield offset, self.block(offset, length)
             offset += length
 
@@ -474,13 +452,13 @@
         if (
             len(data) != length
             or length < BLOCK_BYTES
-            or xxhash.xxh3_64_intdigest(memoryview(data)[8:], (self.header.salt + offset) & MASK)
-            != int.from_bytes(data[:8], "little")
+            or digest(memoryview(data)[8:], (self.header.salt + offset) & MASK) != data[:8]
         ):
-            raise Damaged((self._lost(offset, length),))
+            raise Damaged((self.lost_at(offset, length),))
         return data
 
-    def _lost(self, offset: int, length: int) -> Lost:
+    def lost_at(self, offset: int, length: int) -> Lost:
+        """What is lost with a block that can't be read, as closely as the index tells if it has been read."""
         words = f"records of keys {self.info.first!r} to {self.info.last!r}"
         index = self._index
         if index is not None and offset in index.offsets:
@@ -526,14 +504,7 @@
 
     def _place(self, key: bytes) -> int:
         """The first part whose last key is not before `key`."""
-        low, high = 0, len(self._lasts)
-        while low < high:
-            middle = (low + high) // 2
-            if self._lasts[middle] < key:
-                low = middle + 1
-            else:
-                high = middle
-        return low
+        return bisect_left(self._lasts, key)
 
     def get(self, key: bytes, hashed: int) -> tuple[bool, bytes | None]:
         place = self._place(key)
