--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -9,30 +9,38 @@
 from click.testing import CliRunner, Result
 
 from heronreel.cli.__main__ import main
+from tests.cases import UNSAFE
 
 ROOT = Path(__file__).parent.parent
 SAFE = str(ROOT / "examples/profili.toml")
-UNSAFE = str(ROOT / "tests/files/unsafe/retry-to-pool.toml")
+
+
+@pytest.fixture
+def unsafe(tmp_path: Path) -> str:
+    """A path to a file that would be repeated in another rack."""
+    path = tmp_path / "retry-to-pool.toml"
+    path.write_text(UNSAFE["retry-to-pool"])
+    return str(path)
 
 
 def heronreel(*words: str) -> Result:
     return CliRunner().invoke(main, words)
 
 
-def test_check_tells_of_each_file_and_fails_if_one_is_unsafe(tmp_path: Path) -> None:
+def test_check_tells_of_each_file_and_fails_if_one_is_unsafe(tmp_path: Path, unsafe: str) -> None:
     assert heronreel("check", SAFE).exit_code == 0
-    found = heronreel("check", SAFE, UNSAFE, str(tmp_path / "none.toml"))
+    found = heronreel("check", SAFE, unsafe, str(tmp_path / "none.toml"))
     assert found.exit_code == 1
     assert f"{SAFE}: safe: 3 routes, 2 pools" in found.output
     assert (
-        f"{UNSAFE}:42: routes.save.retry_to:" in found.output
+        f"{unsafe}:42: routes.save.retry_to:" in found.output
         and "shown by: 0 ms sent to rack r1" in found.output
     )
     assert "none.toml:0: file: can't be read" in found.output
 
 
-def test_check_as_json_has_the_witness() -> None:
-    found = heronreel("check", "--json", UNSAFE)
+def test_check_as_json_has_the_witness(unsafe: str) -> None:
+    found = heronreel("check", "--json", unsafe)
     assert found.exit_code == 1
     (told,) = json.loads(found.output)["files"]
     (finding,) = told["findings"]
@@ -50,12 +58,14 @@
     assert "route read-profile" in text and "second_copy_percentile" in text
 
 
-def test_explain_without_a_route_or_with_bad_words() -> None:
+def test_explain_without_a_route_or_with_bad_words(tmp_path: Path) -> None:
     found = heronreel("explain", SAFE, "GET", "/nowhere")
     assert found.exit_code == 1 and "404" in found.output
     assert heronreel("explain", SAFE, "GET", "/x", "-H", "nonsense").exit_code == 2
     assert heronreel("explain", SAFE, "GET", "http://[/x").exit_code == 2
-    broken = heronreel("explain", str(ROOT / "tests/files/unsafe/no-match.toml"), "GET", "/x")
+    path = tmp_path / "no-match.toml"
+    path.write_text(UNSAFE["no-match"])
+    broken = heronreel("explain", str(path), "GET", "/x")
     assert broken.exit_code == 1 and "match is missing" in broken.output
 
 
--- a/tests/test_proof.py
+++ b/tests/test_proof.py
@@ -12,10 +12,8 @@
 from heronreel.routes.model import Limits
 from heronreel.routes.proof import Finding, Witness, check
 from heronreel.routes.timeline import Step, Terms, What, broken
+from tests.cases import SAFE, UNSAFE
 
-FILES = Path(__file__).parent / "files"
-UNSAFE = sorted((FILES / "unsafe").glob("*.toml"))
-SAFE = sorted((FILES / "safe").glob("*.toml"))
 ROOT = Path(__file__).parent.parent
 
 
@@ -28,18 +26,17 @@
     assert len(UNSAFE) >= 40 and len(SAFE) >= 15
 
 
-@pytest.mark.parametrize("path", UNSAFE, ids=lambda path: path.stem)
-def test_an_unsafe_file_is_refused_for_its_reason_at_its_line(path: Path) -> None:
-    text = path.read_text()
+@pytest.mark.parametrize("text", UNSAFE.values(), ids=UNSAFE)
+def test_an_unsafe_file_is_refused_for_its_reason_at_its_line(text: str) -> None:
     (rule,) = re.findall(r"^# refused: (\S+)$", text, re.MULTILINE)
     report = check(text.encode())
     assert [(f.problem.rule, f.problem.line) for f in report.findings] == [(rule, marked(text))]
     assert report.findings[0].problem.wrong and report.findings[0].problem.right
 
 
-@pytest.mark.parametrize("path", SAFE, ids=lambda path: path.stem)
-def test_a_bold_but_safe_file_is_accepted(path: Path) -> None:
-    assert [str(finding) for finding in check(path.read_bytes()).findings] == []
+@pytest.mark.parametrize("text", SAFE.values(), ids=SAFE)
+def test_a_bold_but_safe_file_is_accepted(text: str) -> None:
+    assert [str(finding) for finding in check(text.encode()).findings] == []
 
 
 def test_the_example_is_safe() -> None:
@@ -48,7 +45,7 @@
 
 
 def witnessed() -> list[tuple[str, Finding]]:
-    return [(path.stem, f) for path in UNSAFE for f in check(path.read_bytes()).findings if f.witness]
+    return [(name, f) for name, text in UNSAFE.items() for f in check(text.encode()).findings if f.witness]
 
 
 @pytest.mark.parametrize(
@@ -68,7 +65,7 @@
     example = finding.witness
     if not isinstance(example, Example):
         return
-    file = check((FILES / "unsafe" / f"{name}.toml").read_bytes()).file
+    file = check(UNSAFE[name].encode()).file
     assert file
     headers = {key.encode(): value.encode() for key, value in example.headers}
     taking = [
--- a/tests/test_soundness.py
+++ b/tests/test_soundness.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from pathlib import Path
 
 import pytest
 from hypothesis import HealthCheck, Phase, assume, find, given, settings
@@ -16,6 +15,7 @@
 from heronreel.routes import proof
 from heronreel.routes.load import load
 from heronreel.routes.proof import prove
+from tests.cases import SAFE
 from tests.world import World
 
 POOLS = """
@@ -167,11 +167,9 @@
         pytest.fail("the rule is not needed, or the world too kind to show it")
 
 
-@pytest.mark.parametrize(
-    "path", sorted((Path(__file__).parent / "files/safe").glob("*.toml")), ids=lambda p: p.stem
-)
-def test_the_bold_files_hold_too(path: Path) -> None:
-    file = load(path.read_bytes())
+@pytest.mark.parametrize("text", SAFE.values(), ids=SAFE)
+def test_the_bold_files_hold_too(text: str) -> None:
+    file = load(text.encode())
     for seed in range(20):
         world = World(file, seed, SMALL)
         if world.router.find(b"h", b"/x", world.method.encode(), {b"idempotency-key": b"k"}) is None:
