--- a/heronreel/routes/proof.py
+++ b/heronreel/routes/proof.py
@@ -510,24 +510,25 @@
 
     # What can't come about.
 
-    def _never(self, attempt: int, end: float) -> Witness:
+    def _promise(self, promised: Step, end: float, note: str) -> Witness:
+        """The file promises what the deadline ends before."""
         steps = (
             Step(0.0, What.ARRIVES),
-            Step(0.0, What.PROMISED, attempt=attempt, note=f"the file promises attempt {attempt + 1}"),
+            promised,
             Step(0.0, What.SENT, attempt=0, group=self.group, note="sent"),
-            Step(end, What.FAILED, note="the deadline ends the request before that"),
+            Step(end, What.FAILED, note=note),
         )
         return Witness("promise", Terms(Effect.IDEMPOTENT), steps)
 
+    def _never(self, attempt: int, end: float) -> Witness:
+        note = f"the file promises attempt {attempt + 1}"
+        promised = Step(0.0, What.PROMISED, attempt=attempt, note=note)
+        return self._promise(promised, end, "the deadline ends the request before that")
+
     def _over_early(self, until: float, words: str) -> Witness:
-        deadline = self.policy.deadline_ms
-        steps = (
-            Step(0.0, What.ARRIVES),
-            Step(0.0, What.PROMISED, until_ms=until, note=f"the file promises {words} {until:,.0f} ms"),
-            Step(0.0, What.SENT, attempt=0, group=self.group, note="sent"),
-            Step(deadline, What.FAILED, note="the deadline ends the request"),
-        )
-        return Witness("promise", Terms(Effect.IDEMPOTENT), steps)
+        note = f"the file promises {words} {until:,.0f} ms"
+        promised = Step(0.0, What.PROMISED, until_ms=until, note=note)
+        return self._promise(promised, self.policy.deadline_ms, "the deadline ends the request")
 
     def timeout_over_deadline(self) -> Iterator[Finding]:
         timeout, deadline = self.policy.attempt_timeout_ms, self.policy.deadline_ms
--- a/heronreel/standins/client.py
+++ b/heronreel/standins/client.py
@@ -9,6 +9,8 @@
 
 import httptools
 
+from heronreel.standins.peer import Peer
+
 OUTCOMES = ("served", "refused", "failed", "lost")
 
 
@@ -33,31 +35,22 @@
         return row[min(len(row) - 1, int(len(row) * percent / 100.0))] * 1000.0 if row else 0.0
 
 
-class Caller(asyncio.Protocol):
+class Caller(Peer):
     """One kept connection; one request at a time."""
 
+    parser: httptools.HttpResponseParser
+
     def __init__(self) -> None:
-        self.transport: asyncio.Transport | None = None
+        super().__init__()
         self.parser = httptools.HttpResponseParser(self)
         self.answer: asyncio.Future[tuple[int, bytes]] | None = None
         self.body = bytearray()
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self.transport = transport
-
     def connection_lost(self, error: Exception | None) -> None:
-        self.transport = None
+        super().connection_lost(error)
         if self.answer and not self.answer.done():
             self.answer.set_exception(ConnectionResetError("closed with an answer owed"))
 
-    def data_received(self, data: bytes) -> None:
-        try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserError:
-            if self.transport:
-                self.transport.abort()
-
     def on_message_begin(self) -> None:
         self.body = bytearray()
 
--- a/heronreel/standins/servers.py
+++ b/heronreel/standins/servers.py
@@ -16,6 +16,8 @@
 
 import httptools
 
+from heronreel.standins.peer import Peer
+
 
 @dataclass(slots=True)
 class Rack:
@@ -78,31 +80,23 @@
                 connection.transport.abort()
 
 
-class _Connection(asyncio.Protocol):
+class _Connection(Peer):
     def __init__(self, node: ProfileNode) -> None:
+        super().__init__()
         self.node = node
-        self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpRequestParser(self)
         self.headers: dict[bytes, bytes] = {}
         self.timers: set[asyncio.TimerHandle] = set()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self.transport = transport
+        super().connection_made(transport)
         self.node.connections.add(self)
 
     def connection_lost(self, error: Exception | None) -> None:
+        super().connection_lost(error)
         self.node.connections.discard(self)
-        self.transport = None
         del self.parser
 
-    def data_received(self, data: bytes) -> None:
-        try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserError:
-            if self.transport:
-                self.transport.abort()
-
     def on_message_begin(self) -> None:
         self.headers = {}
 
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -195,6 +195,16 @@
         await process.wait()
 
 
+@asynccontextmanager
+async def one_behind(path: Path, backend: Backend) -> AsyncIterator[Node]:
+    """A proxy with discovery and that one backend."""
+    async with backend:
+        known = [entry("b1", backend.address)]
+        async with Discovery(*known) as discovery:
+            async with node(path, configuration(discovery.address, *known)) as proxy:
+                yield proxy
+
+
 def request(ident: str, klass: str = "save", body: bytes = b"ride", extra: str = "") -> bytes:
     method = "GET" if klass == "read" else "POST"
     lines = [f"{method} /{klass}/obj1 HTTP/1.1", "Host: api.internal", f"X-Class: {klass}"]
--- a/tests/test_bad_backends.py
+++ b/tests/test_bad_backends.py
@@ -15,6 +15,7 @@
     entry,
     node,
     ok,
+    one_behind,
     request,
     request_of,
     run,
@@ -87,14 +88,9 @@
 @pytest.mark.parametrize("good", GOOD.values(), ids=GOOD.keys())
 def test_an_odd_answer_that_is_whole_is_served(tmp_path: Path, good: bytes) -> None:
     async def talk() -> None:
-        async with Backend(lambda head, body: good) as backend:
-            known = [entry("b1", backend.address)]
-            async with (
-                Discovery(*known) as discovery,
-                node(tmp_path, configuration(discovery.address, *known)) as proxy,
-            ):
-                for ident in ("a1", "a2"):
-                    assert await proxy.ask(ident) == ("200", b"ride")
+        async with one_behind(tmp_path, Backend(lambda head, body: good)) as proxy:
+            for ident in ("a1", "a2"):
+                assert await proxy.ask(ident) == ("200", b"ride")
 
     run(talk())
 
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tests.loopback import Backend, Discovery, answer_of, configuration, entry, node, request, run
+from tests.loopback import Backend, Discovery, answer_of, configuration, entry, node, one_behind, request, run
 
 HEAD = (
     b"POST /save/obj1 HTTP/1.1\r\nHost: api.internal\r\nX-Request-Id: b1\r\nX-Class: save\r\n"
@@ -44,100 +44,79 @@
 @pytest.mark.parametrize("sent", BAD.values(), ids=BAD.keys())
 def test_a_bad_request_is_turned_away_and_costs_the_backends_nothing(tmp_path: Path, sent: bytes) -> None:
     async def talk() -> None:
-        async with Backend() as backend:
-            known = [entry("b1", backend.address)]
-            async with (
-                Discovery(*known) as discovery,
-                node(tmp_path, configuration(discovery.address, *known)) as proxy,
-            ):
-                reader, writer = await proxy.connect()
-                writer.write(sent)
-                async with asyncio.timeout(4.0):
-                    status, _ = await answer_of(reader)
-                assert status in ("closed", "400", "405", "408", "413", "414", "431")
-                assert await proxy.ask("a1") == ("200", b"a1")
-                assert backend.seen == ["a1"]
+        backend = Backend()
+        async with one_behind(tmp_path, backend) as proxy:
+            reader, writer = await proxy.connect()
+            writer.write(sent)
+            async with asyncio.timeout(4.0):
+                status, _ = await answer_of(reader)
+            assert status in ("closed", "400", "405", "408", "413", "414", "431")
+            assert await proxy.ask("a1") == ("200", b"a1")
+            assert backend.seen == ["a1"]
 
     run(talk())
 
 
 def test_the_id_of_an_open_request_is_turned_away(tmp_path: Path) -> None:
     async def talk() -> None:
-        async with Backend(lambda head, body: None) as backend:
-            known = [entry("b1", backend.address)]
-            async with (
-                Discovery(*known) as discovery,
-                node(tmp_path, configuration(discovery.address, *known)) as proxy,
-            ):
-                reader, writer = await proxy.connect()
-                writer.write(request("a1"))
-                await backend.asked.wait()
-                assert (await proxy.ask("a1"))[0] == "400"
-                backend.writers[0].write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")
-                assert await answer_of(reader) == ("200", b"done")
-                assert backend.seen == ["a1"]
+        backend = Backend(lambda head, body: None)
+        async with one_behind(tmp_path, backend) as proxy:
+            reader, writer = await proxy.connect()
+            writer.write(request("a1"))
+            await backend.asked.wait()
+            assert (await proxy.ask("a1"))[0] == "400"
+            backend.writers[0].write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")
+            assert await answer_of(reader) == ("200", b"done")
+            assert backend.seen == ["a1"]
 
     run(talk())
 
 
 def test_nothing_after_a_rejected_request_is_taken_up(tmp_path: Path) -> None:
     async def talk() -> None:
-        async with Backend() as backend:
-            known = [entry("b1", backend.address)]
-            async with (
-                Discovery(*known) as discovery,
-                node(tmp_path, configuration(discovery.address, *known)) as proxy,
-            ):
-                reader, writer = await proxy.connect()
-                hidden = b"4\r\nride\r\n0\r\n\r\n" + request("a9")
-                writer.write(HEAD + b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n" + hidden)
-                assert (await answer_of(reader))[0] == "400"
-                assert await reader.read() == b""
-                assert backend.seen == []
+        backend = Backend()
+        async with one_behind(tmp_path, backend) as proxy:
+            reader, writer = await proxy.connect()
+            hidden = b"4\r\nride\r\n0\r\n\r\n" + request("a9")
+            writer.write(HEAD + b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n" + hidden)
+            assert (await answer_of(reader))[0] == "400"
+            assert await reader.read() == b""
+            assert backend.seen == []
 
     run(talk())
 
 
 def test_an_owed_answer_goes_out_though_half_of_another_request_follows(tmp_path: Path) -> None:
     async def talk() -> None:
-        async with Backend(lambda head, body: None) as backend:
-            known = [entry("b1", backend.address)]
-            async with (
-                Discovery(*known) as discovery,
-                node(tmp_path, configuration(discovery.address, *known)) as proxy,
-            ):
-                reader, writer = await proxy.connect()
-                writer.write(request("a1") + HEAD)
-                await backend.asked.wait()
-                other, _ = await proxy.connect()
-                assert await other.read() == b""  # the later connection's time is over, so that half's is too
-                backend.writers[0].write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")
-                assert await answer_of(reader) == ("200", b"done")
+        backend = Backend(lambda head, body: None)
+        async with one_behind(tmp_path, backend) as proxy:
+            reader, writer = await proxy.connect()
+            writer.write(request("a1") + HEAD)
+            await backend.asked.wait()
+            other, _ = await proxy.connect()
+            assert await other.read() == b""  # the later connection's time is over, so that half's is too
+            backend.writers[0].write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")
+            assert await answer_of(reader) == ("200", b"done")
 
     run(talk())
 
 
 def test_a_silent_crowd_does_not_push_out_usual_clients(tmp_path: Path) -> None:
     async def talk() -> None:
-        async with Backend() as backend:
-            known = [entry("b1", backend.address)]
-            async with (
-                Discovery(*known) as discovery,
-                node(tmp_path, configuration(discovery.address, *known)) as proxy,
-            ):
-                reader, writer = await proxy.connect()
-                writer.write(request("a1"))
-                assert await answer_of(reader) == ("200", b"a1")
-                crowd = [await proxy.connect() for _ in range(300)]
-                assert await proxy.ask("a2") == ("200", b"a2")
-                writer.write(request("a3"))
-                assert await answer_of(reader) == ("200", b"a3")
-                assert proxy.descriptors() <= 256
-                for other, _ in crowd:  # all of them are closed, in time
-                    with suppress(ConnectionError):
-                        assert await other.read() == b""
-                for _, ending in crowd:
-                    ending.close()
+        async with one_behind(tmp_path, Backend()) as proxy:
+            reader, writer = await proxy.connect()
+            writer.write(request("a1"))
+            assert await answer_of(reader) == ("200", b"a1")
+            crowd = [await proxy.connect() for _ in range(300)]
+            assert await proxy.ask("a2") == ("200", b"a2")
+            writer.write(request("a3"))
+            assert await answer_of(reader) == ("200", b"a3")
+            assert proxy.descriptors() <= 256
+            for other, _ in crowd:  # all of them are closed, in time
+                with suppress(ConnectionError):
+                    assert await other.read() == b""
+            for _, ending in crowd:
+                ending.close()
 
     run(talk())
 
--- a/tests/test_rfc9112.py
+++ b/tests/test_rfc9112.py
@@ -10,13 +10,10 @@
 from dykemux.http1 import absolute_form, is_host
 from tests.loopback import (
     Backend,
-    Discovery,
     answer_of,
-    configuration,
-    entry,
     head_of,
-    node,
     ok,
+    one_behind,
     request,
     run,
 )
@@ -53,17 +50,13 @@
     tmp_path: Path, sent: bytes, status: str
 ) -> None:
     async def talk() -> None:
-        async with Backend() as backend:
-            known = [entry("b1", backend.address)]
-            async with (
-                Discovery(*known) as discovery,
-                node(tmp_path, configuration(discovery.address, *known)) as proxy,
-            ):
-                reader, writer = await proxy.connect()
-                writer.write(sent)
-                assert (await answer_of(reader))[0] == status
-                assert await reader.read() == b""
-                assert backend.seen == []
+        backend = Backend()
+        async with one_behind(tmp_path, backend) as proxy:
+            reader, writer = await proxy.connect()
+            writer.write(sent)
+            assert (await answer_of(reader))[0] == status
+            assert await reader.read() == b""
+            assert backend.seen == []
 
     run(talk())
 
@@ -76,36 +69,31 @@
         return ok(b"ride")
 
     async def talk() -> None:
-        async with Backend(reply) as backend:
-            known = [entry("b1", backend.address)]
-            async with (
-                Discovery(*known) as discovery,
-                node(tmp_path, configuration(discovery.address, *known)) as proxy,
-            ):
-                reader, writer = await proxy.connect()
-                # the authority of an absolute target counts (9112, 3.2.2), Via is added (9110, 7.6.3), fields
-                # that Connection names end here (9110, 7.6.1)
-                target = b"GET http://other.example:81/read/obj1?x=1 HTTP/1.1"
-                lines = READ.replace(b"GET /read/obj1 HTTP/1.1", target) + b"Via: 1.0 a\r\n"
-                writer.write(lines + b"Connection: keep-alive, X-Hop\r\nX-Hop: 1\r\n\r\n")
-                head = await head_of(reader)
-                assert head[""].split()[1] == "200"
-                assert re.fullmatch(
-                    r"[A-Z][a-z]{2}, \d\d [A-Z][a-z]{2} \d{4} \d\d:\d\d:\d\d GMT", head["date"]
-                )
-                assert await reader.readexactly(4) == b"ride"
-                assert heads[0][""] == "GET /read/obj1?x=1 HTTP/1.1"
-                assert heads[0]["host"] == "other.example:81"
-                assert (
-                    heads[0]["via"] == "1.1 heronreel" and "x-hop" not in heads[0]
-                )  # the last line wins here
-                # OPTIONS counts down and ends here at 0 (9110, 7.6.2)
-                for hops, wanted in ((b"1", 2), (b"0", 2)):
-                    options = READ.replace(b"GET", b"OPTIONS") + b"Max-Forwards: %b\r\n\r\n" % hops
-                    writer.write(options)
-                    assert (await answer_of(reader))[0] == "200"
-                    assert len(heads) == wanted
-                assert heads[1]["max-forwards"] == "0"
+        async with one_behind(tmp_path, Backend(reply)) as proxy:
+            reader, writer = await proxy.connect()
+            # the authority of an absolute target counts (9112, 3.2.2), Via is added (9110, 7.6.3), fields
+            # that Connection names end here (9110, 7.6.1)
+            target = b"GET http://other.example:81/read/obj1?x=1 HTTP/1.1"
+            lines = READ.replace(b"GET /read/obj1 HTTP/1.1", target) + b"Via: 1.0 a\r\n"
+            writer.write(lines + b"Connection: keep-alive, X-Hop\r\nX-Hop: 1\r\n\r\n")
+            head = await head_of(reader)
+            assert head[""].split()[1] == "200"
+            assert re.fullmatch(
+                r"[A-Z][a-z]{2}, \d\d [A-Z][a-z]{2} \d{4} \d\d:\d\d:\d\d GMT", head["date"]
+            )
+            assert await reader.readexactly(4) == b"ride"
+            assert heads[0][""] == "GET /read/obj1?x=1 HTTP/1.1"
+            assert heads[0]["host"] == "other.example:81"
+            assert (
+                heads[0]["via"] == "1.1 heronreel" and "x-hop" not in heads[0]
+            )  # the last line wins here
+            # OPTIONS counts down and ends here at 0 (9110, 7.6.2)
+            for hops, wanted in ((b"1", 2), (b"0", 2)):
+                options = READ.replace(b"GET", b"OPTIONS") + b"Max-Forwards: %b\r\n\r\n" % hops
+                writer.write(options)
+                assert (await answer_of(reader))[0] == "200"
+                assert len(heads) == wanted
+            assert heads[1]["max-forwards"] == "0"
 
     run(talk())
 
@@ -114,17 +102,12 @@
     """9112, 9.3: not kept, whatever it asks; 9110, 10.1.1: no interim answer; Host may be missing."""
 
     async def talk() -> None:
-        async with Backend() as backend:
-            known = [entry("b1", backend.address)]
-            async with (
-                Discovery(*known) as discovery,
-                node(tmp_path, configuration(discovery.address, *known)) as proxy,
-            ):
-                reader, writer = await proxy.connect()
-                sent = request("a1", extra="Expect: 100-continue\r\nConnection: keep-alive\r\n")
-                writer.write(sent.replace(b"HTTP/1.1", b"HTTP/1.0").replace(b"Host: api.internal\r\n", b""))
-                assert await answer_of(reader) == ("200", b"a1")
-                assert await reader.read() == b""
+        async with one_behind(tmp_path, Backend()) as proxy:
+            reader, writer = await proxy.connect()
+            sent = request("a1", extra="Expect: 100-continue\r\nConnection: keep-alive\r\n")
+            writer.write(sent.replace(b"HTTP/1.1", b"HTTP/1.0").replace(b"Host: api.internal\r\n", b""))
+            assert await answer_of(reader) == ("200", b"a1")
+            assert await reader.read() == b""
 
     run(talk())
 
