Operators' calls, held backends, emptying, and upgrades on an inherited socket

The second start of an upgrade ended with 2 (address in use), a drained proxy kept its clients, and nobody could hold a backend out. Now: a second listener for operators, holds decided in the module and shared by a proxy's processes through files put in place by renames, emptying that closes a connection behind its next answer, and a successor that takes the platform's listening socket and serves once it has a list.

A loopback test of a hold that meets a connect is still to be made tighter.

--- a/dykemux/__main__.py
+++ b/dykemux/__main__.py
@@ -8,6 +8,9 @@
 import os
 import signal
 import sys
+import time
+from collections.abc import Mapping
+from pathlib import Path
 from typing import Any
 
 import uvloop
@@ -16,6 +19,9 @@
 from dykemux.config import Config, ConfigError, load
 from dykemux.http1 import log_to_stderr
 from dykemux.proxy import Proxy
+from dykemux.shared import Shared
+
+KNOWN_S = 3.0  # a successor waits so long for discovery; it is due to serve within 6 s
 
 log = logging.getLogger(__name__)
 
@@ -30,15 +36,69 @@
     loop.add_signal_handler(signal.SIGHUP, reload.set)
     proxy = Proxy(loop, config)
     clients = Clients(loop, config, proxy)
-    log.info("listening on %s:%d", *await clients.listen(config.listen))
+    inherited, shared = _inherited(os.environ), _shared(os.environ, config)
+    ready = asyncio.Event()
+    if config.mgmt:
+        await _take_orders(loop, config.mgmt, proxy, clients, shared, ready)
+    if inherited is not None and shared and shared.others():
+        await _known_to(proxy)  # the predecessor serves until we know as much as it does
+    log.info("listening on %s:%d", *await clients.listen(config.listen, inherited))
+    ready.set()
     gc.collect()
     gc.freeze()  # what lives as long as the process need not be searched again
     reloading = loop.create_task(_reloads(reload, proxy, clients))
     await stop.wait()
-    await clients.drain()
+    if shared:
+        shared.resign()
+    await clients.drain(succeeded=inherited is not None and bool(shared and shared.others()))
     reloading.cancel()
 
 
+def _inherited(environ: Mapping[str, str]) -> int | None:
+    """The descriptor of a listening socket that whoever started us holds open for our successors too."""
+    number = environ.get("LB_ACCEPT_FD", "")
+    return int(number) if number.isascii() and number.isdigit() else None
+
+
+def _shared(environ: Mapping[str, str], config: Config) -> Shared | None:
+    """What this proxy's processes share; only where operators call, and where there is a folder for it."""
+    if not config.mgmt or not environ.get("TMPDIR"):
+        return None
+    try:
+        shared = Shared(Path(environ["TMPDIR"]) / f"heronreel-{config.name}")
+        shared.enrol()
+    except OSError as error:
+        log.error("shared folder: %s; holds end with this process", error)
+        return None
+    return shared
+
+
+async def _take_orders(
+    loop: asyncio.AbstractEventLoop,
+    address: tuple[str, int],
+    proxy: Proxy,
+    clients: Clients,
+    shared: Shared | None,
+    ready: asyncio.Event,
+) -> None:
+    # only here: a proxy that nobody calls need not load it
+    from dykemux.operators import Operators, Orders
+
+    orders = Orders(loop, proxy, clients, shared)
+    orders.look()  # before the first request: what was held stays held
+    operators = Operators(
+        loop, lambda: ready.is_set() and not clients.draining and proxy.serves(), orders.carry_out
+    )
+    log.info("operators call %s:%d", *await operators.listen(address))
+
+
+async def _known_to(proxy: Proxy) -> None:
+    """Until discovery has told a list, and at least some member is on it; KNOWN_S at most."""
+    ends_at = time.monotonic() + KNOWN_S
+    while not (proxy.heard and proxy.serves()) and time.monotonic() < ends_at:
+        await asyncio.sleep(0.02)
+
+
 async def _reloads(asked: asyncio.Event, proxy: Proxy, clients: Clients) -> None:
     """Take a new configuration on SIGHUP, as a whole or not at all; signals that come together count once."""
     while True:
--- a/dykemux/backends.py
+++ b/dykemux/backends.py
@@ -58,6 +58,7 @@
     pool: str = ""
     listed: bool = True
     told_off_at: float = 0.0  # when its leave was told, if it is not listed
+    held: bool = False  # by operators
     out: int = 0  # attempts that have not ended
     idle: list[Link] = field(default_factory=list)  # the most recently used last
 
@@ -161,7 +162,7 @@
     def _send(self, link: Link, attempt: Attempt) -> None:
         node, now = attempt.node, time.monotonic()
         # guards rule 3: a connect or a stall of ours may outlast the grace after a leave was told
-        if not node.listed and now > node.told_off_at + self.grace:
+        if node.held or (not node.listed and now > node.told_off_at + self.grace):
             link.transport.abort()
             self.end(attempt, Outcome.NOT_SENT)
         elif now >= attempt.send_by:
@@ -175,7 +176,7 @@
     def rest(self, link: Link) -> None:
         """Keep a connection for the next attempt, if there can be one."""
         node = link.node
-        if not node.listed or link.transport.is_closing() or link.address != node.address:
+        if not node.listed or node.held or link.transport.is_closing() or link.address != node.address:
             link.transport.abort()
             return
         link.idle_at = time.monotonic()
--- a/dykemux/clients.py
+++ b/dykemux/clients.py
@@ -58,6 +58,10 @@
 LINGER_S, LINGER_MOST = 1.0, 256 << 10  # what comes after a last answer is read, lest a reset overtake it
 QUIET_S, ACCEPT_S, ACCEPT_MOST_S = 0.25, 0.6, 1.5  # after SIGTERM new connections come for up to 0.4 s
 LAST_S = 0.5  # after the longest deadline we are gone; SIGKILL comes 0.7 s after it
+KILL_LEAST_S = 3.0  # a longest deadline counts as this much at most
+LEAVE_S = 1.8  # after SIGTERM clients' connections that stay idle are kept for a successor's sake
+EMPTY_S, EMPTY_STEP_S = 0.35, 0.05  # after it was asked whether we serve, the front sends no more connections
+EMPTY_SILENT_S = 0.6  # a connection of then that says nothing
 
 log = logging.getLogger(__name__)
 
@@ -89,6 +93,7 @@
         self.silent: dict[Client, None] = {}  # those that have not sent a byte, the oldest first
         self.idle: dict[Client, None] = {}  # those between requests, the longest idle first
         self.draining = False
+        self.emptied_at = math.inf  # when operators asked for it
         self.accepted_at = 0.0
         self.servers: list[asyncio.Server] = []
 
@@ -97,11 +102,15 @@
         if config.listen != self.listens and not config.listed:  # else the host tells of its listeners
             log.error("reload: listen: a new address needs a restart; %s:%d stays", *self.listens)
 
-    async def listen(self, address: tuple[str, int]) -> tuple[str, int]:
+    async def listen(self, address: tuple[str, int], inherited: int | None = None) -> tuple[str, int]:
+        """Listen on an address, or on a socket that whoever started us holds for all of our kind."""
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        listener = socket.socket(family, socket.SOCK_STREAM)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)  # no waiting for TIME_WAIT
-        listener.bind(address)
+        if inherited is None:
+            listener = socket.socket(family, socket.SOCK_STREAM)
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)  # no waiting for TIME_WAIT
+            listener.bind(address)
+        else:
+            listener = socket.socket(fileno=inherited)  # raises OSError if it is no socket
         server = await self.loop.create_server(lambda: Client(self), sock=listener, backlog=BACKLOG)
         if not self.servers:
             self.loop.call_later(SWEEP_S, self._sweep)
@@ -149,21 +158,54 @@
                 spare += 1
         self.proxy.pool.sweep(now)
 
-    async def drain(self) -> None:
-        """After SIGTERM: take what still comes, answer all that was taken, then close."""
+    def empty(self, on: bool) -> None:
+        """Operators take the proxy's clients away, or let them come again."""
+        if on == (self.emptied_at < math.inf):
+            return
+        self.emptied_at = time.monotonic() if on else math.inf
+        if on:
+            self.loop.call_later(EMPTY_S, self._empty, self.emptied_at)
+
+    def _empty(self, asked_at: float) -> None:
+        """Close what is between requests, once closing it makes clients come to another proxy."""
+        if self.emptied_at != asked_at or self.draining:
+            return
+        self.loop.call_later(EMPTY_STEP_S, self._empty, asked_at)
+        for client in list(self.idle):
+            client.close()
+        said_by = time.monotonic() + REQUEST_S - EMPTY_SILENT_S
+        for client in [client for client in self.silent if client.due <= said_by]:
+            client.close()
+
+    def is_leaving(self) -> bool:
+        """No client is to come again, for a while or for good."""
+        return self.draining or self.emptied_at < math.inf
+
+    async def drain(self, succeeded: bool = False) -> None:
+        """After SIGTERM: answer all that was taken, then close.
+
+        Without a successor, take what still comes first.  With one, what comes is its own, and clients'
+        connections stay open for a while: each ends behind its next answer, so that few close on a request.
+        """
         self.draining = True
         started = time.monotonic()
-        ends_at = started + self.proxy.deadline_most_ms / 1000.0 + LAST_S
-        while (now := time.monotonic()) < started + ACCEPT_MOST_S and (
-            now < started + ACCEPT_S or now < self.accepted_at + QUIET_S
-        ):
+        ends_at = started + min(self.proxy.deadline_most_ms / 1000.0, KILL_LEAST_S) + LAST_S
+        while not succeeded and (now := time.monotonic()) < started + ACCEPT_MOST_S:
+            if now >= max(started + ACCEPT_S, self.accepted_at + QUIET_S):
+                break
             await asyncio.sleep(0.02)
         for server in self.servers:
             server.close()  # the last accepts left the backlog empty for QUIET_S
+        while succeeded and self.open and time.monotonic() < started + LEAVE_S:
+            await asyncio.sleep(0.02)
         while self.open and time.monotonic() < ends_at:
             for client in list(self.idle):
                 client.close()
             await asyncio.sleep(0.02)
+        # guards rule 1: what was taken late is told that it failed rather than cut off
+        for request in [client.request for client in self.open if client.request]:
+            self.proxy.give_up(request)
+        await asyncio.sleep(0.05)
         for client in list(self.open):
             client.abort()
 
@@ -313,7 +355,7 @@
             self.wrong = 405
             return
         if path == b"/_health":
-            self.wrong = 200 if proxy.serves() and not self.owner.draining else 503
+            self.wrong = 200 if proxy.serves() and not self.owner.is_leaving() else 503
             return
         if method == b"OPTIONS" and (hops := fields.get(b"max-forwards", b"")).isdigit():
             if not int(hops[:9]):  # RFC 9110, 7.6.2: it is for us, the last it may reach
@@ -446,7 +488,7 @@
     # Answering.
 
     def answer(self, status: int, lines: bytes, body: bytes = b"") -> None:
-        self.last = self.last or self.owner.draining
+        self.last = self.last or self.owner.is_leaving()
         self.transport.write(answer_head(status, lines, len(body), self.last and not self.early) + body)
         self.request = None
         if self.early:
--- a/dykemux/config.py
+++ b/dykemux/config.py
@@ -46,6 +46,7 @@
     crowd_sockets: int
     backend_sockets: int
     listed: bool = False  # a reload takes `known` as the whole list
+    mgmt: tuple[str, int] | None = None  # where operators call; None: nowhere
     any_status: bool = False  # answers other than 200 are served too, unless they are of the server's failing
 
 
@@ -64,6 +65,8 @@
     # the file is what a reload replaces, so where it names discovery the variable may be old
     where = told.get("discovery", environ.get("LB_DISCOVERY"))
     discovery = _host_port("discovery" if "discovery" in told else "LB_DISCOVERY", where)
+    calls = told.get("mgmt", environ.get("LB_MGMT") or None)
+    mgmt = _host_port("mgmt" if "mgmt" in told else "LB_MGMT", calls) if calls is not None else None
     limits = _object(told, "limits")
     memory, sockets = _positive(limits, "limits.memory_mb"), int(_positive(limits, "limits.sockets"))
     soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
@@ -92,6 +95,7 @@
         conn_idle,
         grace,
         *shares_of(memory, sockets),
+        mgmt=mgmt,
     )
 
 
--- a/dykemux/proxy.py
+++ b/dykemux/proxy.py
@@ -20,6 +20,7 @@
 from dykemux.config import Config
 from dykemux.discovery import Discovery, Member, Members
 from dykemux.http1 import DATE, Budget
+from dykemux.shared import Hold
 from flintplank import interface as api
 from flintplank.choice import Balancer
 
@@ -110,6 +111,8 @@
         self.names: set[bytes] = set()  # of the same requests
         self.budget = Budget(config.body_bytes)
         self.last_ident = 0
+        self.holds: dict[str, Hold] = {}  # by name: what operators hold, and what they gave back
+        self.heard = not config.discovery  # a list was told, so what we know is not only what the file knew
         self.listed = config.listed  # a file's members beside discovery's, if there are any
         self.events: deque[api.Event] = deque()
         self.telling = False
@@ -269,6 +272,10 @@
         if left > 0.0005:  # the loop's clock stands still while it works, so a timer may come early
             request.timer = self.loop.call_later(left, self._deadline, request)
             return
+        self.give_up(request)
+
+    def give_up(self, request: Request) -> None:
+        """Its time is over, or ours is."""
         for attempt in request.attempts:
             self.pool.give_up(attempt, api.Outcome.TIMEOUT)
         if not request.over:  # guards rule 1: the module holds it, or failed on it
@@ -303,12 +310,49 @@
             self.names.discard(request.name)
             request.attempts.clear()
 
+    # What operators say.
+
+    def knows(self, name: str) -> bool:
+        """Whether any backend has that name, or had when it was held."""
+        return name in self.numbers or name in self.holds
+
+    def settle_holds(self, holds: dict[str, Hold]) -> None:
+        """Carry out what operators have said since the last look, to this process or to the other."""
+        for name, hold in holds.items():
+            old = self.holds.get(name)
+            if hold == old:
+                continue
+            number = self.numbers.get(name)
+            if number is None:
+                number = self._number(name)
+            held = not hold.released_ms
+            self.holds[name] = hold
+            log.info("%s %s", "cordoned" if held else "back in use:", name)
+            if node := self.nodes.get(number):
+                node.held = held
+                self.pool.close_idle(node)  # held, or restarted since
+            if held:
+                self.tell(api.HoldBackend(number, hold.since_ms))
+            else:
+                self.tell(api.ReleaseBackend(number, hold.since_ms, hold.released_ms))
+                if node:
+                    self._forget(node)
+        for name in [name for name, hold in self.holds.items() if hold.released_ms and name not in holds]:
+            del self.holds[name]  # long enough ago; a hold ends by its release alone
+
+    def _number(self, name: str) -> int:
+        number = number_of(name.encode())
+        while number in self.nodes:  # another name's number
+            number = number_of(b"%d" % number)
+        return number
+
     # The list.
 
     def told(self, members: Members | None) -> None:
         if members is None:
             self.tell(api.BackendList(api.ListKind.FAILED))
         else:
+            self.heard = True
             self._take_list(members, api.ListKind.FULL if members.whole else api.ListKind.CHANGES)
 
     def _take_list(self, members: Members, kind: api.ListKind, of_file: bool = False) -> None:
@@ -330,16 +374,17 @@
     def _take(self, member: Member) -> api.BackendInfo:
         number = self.numbers.get(member.name)
         if number is None:
-            number = number_of(member.name.encode())
-            while number in self.nodes:  # another name's number
-                number = number_of(b"%d" % number)
+            number = self._number(member.name)
         node = self.nodes.get(number)
         if member.state is not api.State.UP or member.address is None:
             if node:
                 self._tell_off(node)
         elif node is None:
             self.numbers[member.name] = number
-            self.nodes[number] = Node(number, member.name, member.address, member.since_ms, member.pool)
+            node = Node(number, member.name, member.address, member.since_ms, member.pool)
+            hold = self.holds.get(member.name)
+            node.held = hold is not None and not hold.released_ms
+            self.nodes[number] = node
         else:
             node.listed = True
             if (node.address, node.since_ms) != (member.address, member.since_ms):
--- a/flintplank/choice.py
+++ b/flintplank/choice.py
@@ -10,6 +10,7 @@
 from heapq import heappop, heappush, nlargest
 
 from flintplank import interface as api
+from flintplank.maintenance import Maintenance
 from flintplank.overload import TurnedAway
 
 PERIOD_MS = 200.0  # between two updates of the weights (paper)
@@ -159,6 +160,7 @@
         self.part = SHARE_SLACK / settings.proxies  # of the quotas that is ours
         self.pace = float(settings.proxies)  # what one send stands for on a board
         self.turned_away = TurnedAway()
+        self.maintenance = Maintenance()
         self.sends, self.service = Rate(), Rate()  # Nr, and the booked cost before pace and ramp
         self.ended, self.served = Rate(), Rate()  # attempts that may have run, and the cost of those served
         self.mean_out = self.mean_service = 0.0
@@ -204,6 +206,16 @@
             self.requests.pop(event.request, None)
         elif isinstance(event, api.BackendList):
             self._list(now_ms, event)
+        elif isinstance(event, api.HoldBackend):
+            old = self.backends.pop(event.backend, None)
+            self.busy.pop(event.backend, None)
+            self.maintenance.hold(event.since_ms, event.backend, old.info if old else None)
+            self._listed_anew()
+        elif isinstance(event, api.ReleaseBackend):
+            line = self.maintenance.release(event.held_ms, event.at_ms, event.backend)
+            if line is not None:
+                self._enter(now_ms, line)
+                self._listed_anew()
         elif isinstance(event, api.NewSettings):
             self._settle(event.settings)
             self.near = sum(self._is_near(backend.info) for backend in self.backends.values())
@@ -574,26 +586,36 @@
             self.actions.append(api.SetTimer(WATCH, wait * self.random.uniform(0.5, 1.0)))
             return
         self.watch_failures = 0
-        fresh = [info for info in news.backends if info.state is api.State.UP]
-        listed = {info.backend for info in fresh}
+        up = [info for info in news.backends if info.state is api.State.UP]
+        listed = {info.backend for info in up}
         gone = [info.backend for info in news.backends if info.state is not api.State.UP]
         if news.kind is not api.ListKind.CHANGES:
             gone += [ident for ident in self.backends if ident not in listed]
+            gone += self.maintenance.missing(listed)
         for ident in gone:  # rule 3: a draining or missing backend gets nothing from here on
             self.backends.pop(ident, None)
             self.busy.pop(ident, None)
+            self.maintenance.gone(ident)
+        fresh = [line for info in up if (line := self.maintenance.admit(info)) is not None]
         self.random.shuffle(fresh)  # many proxies must not begin on the same backend
         for info in fresh:
-            old = self.backends.get(info.backend)
-            if old and old.info.started_ms == info.started_ms:
-                old.info = info
-                continue
-            self.busy.pop(info.backend, None)
-            # rule 4: first sends of many proxies to a cold backend must not fall together
-            credit = -self.random.random() * (self.mean_service or PERIOD_MS)
-            turn = self.random.random() - 1.0
-            self.backends[info.backend] = Backend(info, Board(now), turn, credit)
-            self._queue_turn(self.backends[info.backend])
+            self._enter(now, info)
+        self._listed_anew()
+
+    def _enter(self, now: float, info: api.BackendInfo) -> None:
+        """Take a listed backend up, or its line anew."""
+        old = self.backends.get(info.backend)
+        if old and old.info.started_ms == info.started_ms:
+            old.info = info
+            return
+        self.busy.pop(info.backend, None)
+        # rule 4: first sends of many proxies to a cold backend must not fall together
+        credit = -self.random.random() * (self.mean_service or PERIOD_MS)
+        turn = self.random.random() - 1.0
+        self.backends[info.backend] = Backend(info, Board(now), turn, credit)
+        self._queue_turn(self.backends[info.backend])
+
+    def _listed_anew(self) -> None:
         self.homes.clear()
         self.near = sum(self._is_near(backend.info) for backend in self.backends.values())
 
--- a/flintplank/interface.py
+++ b/flintplank/interface.py
@@ -291,9 +291,27 @@
     load: Mapping[str, float] | None = None
 
 
+@dataclass(slots=True)
+class HoldBackend:
+    """An operator takes a backend out of service: nothing new goes to it until it is released."""
+
+    backend: int
+    since_ms: float  # when the operator said so
+
+
+@dataclass(slots=True)
+class ReleaseBackend:
+    """An operator gives a backend back, restarted in between as far as anybody knows."""
+
+    backend: int
+    held_ms: float  # when it was held
+    at_ms: float  # when it was released
+
+
 Event = (
     BackendList | NewSettings | Arrival | StreamStarted | AttemptEnded | ClientGone | TimerFired | ProbeEnded
-)
+    | HoldBackend | ReleaseBackend
+)  # fmt: skip
 
 
 @dataclass(slots=True)
--- a/flintplank/pools.py
+++ b/flintplank/pools.py
@@ -69,6 +69,9 @@
                     self._tell(now_ms, name, api.NewSettings(self._settings_of(name)))
             case api.ClientGone():
                 self._gone(now_ms, event.request)
+            case api.HoldBackend() | api.ReleaseBackend():
+                for name in self.balancers:  # one that has no such backend has nothing to hold
+                    self._tell(now_ms, name, event)
             case _:
                 raise ValueError(f"no such event of pools: {event!r}")
         return self.actions
--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,289 @@
+"""Operators' calls on the real program: holds, emptying, callers that stall, and upgrades on one socket."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.loopback import (
+    ROOT,
+    Backend,
+    Discovery,
+    Node,
+    answer_of,
+    configuration,
+    entry,
+    ok,
+    request,
+    run,
+)
+
+
+class Called(Node):
+    """A node with a second address."""
+
+    calls = 0
+
+    async def call(self, path: str, body: str = "", method: str = "POST") -> str:
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.calls)
+        head = f"{method} {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n{body}"
+        writer.write(head.encode())
+        status, _ = await answer_of(reader)
+        writer.close()
+        return status
+
+    async def health(self) -> str:
+        return await self.call("/admin/health", method="GET")
+
+
+def a_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+@asynccontextmanager
+async def started(folder: Path, config: dict[str, Any], shared: socket.socket | None = None) -> AsyncIterator[Called]:
+    """`shared`: a listening socket that the process inherits, as on the platform."""
+    calls = a_port()
+    file = folder / f"config-{calls}.json"
+    file.write_text(json.dumps(config | {"mgmt": f"127.0.0.1:{calls}"}))
+    port = shared.getsockname()[1] if shared else a_port()
+    told = {"LB_NAME": "n0", "LB_LISTEN": f"127.0.0.1:{port}", "LB_CONFIG": str(file), "TMPDIR": str(folder)}
+    passed: tuple[int, ...] = ()
+    if shared:
+        passed = (shared.fileno(),)
+        told["LB_ACCEPT_FD"] = str(shared.fileno())
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "dykemux", cwd=ROOT, env={**os.environ, **told}, pass_fds=passed,
+        stderr=asyncio.subprocess.PIPE,
+    )  # fmt: skip
+    made = Called(file, process, "127.0.0.1", port)
+    made.calls = calls
+    try:
+        await made.log_line("listening")
+        yield made
+    finally:
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+
+
+@asynccontextmanager
+async def two_behind(path: Path) -> AsyncIterator[tuple[Called, Backend, Backend, Discovery]]:
+    async with Backend() as one, Backend() as two:
+        known = [entry("b1", one.address), entry("b2", two.address)]
+        async with Discovery(*known) as discovery:
+            async with started(path, configuration(discovery.address, *known)) as proxy:
+                await discovery.watched.wait()
+                yield proxy, one, two, discovery
+
+
+def test_a_held_backend_gets_nothing_whatever_the_list_says_and_one_call_gives_it_back(tmp_path: Path) -> None:
+    async def talk() -> None:
+        async with two_behind(tmp_path) as (proxy, one, two, discovery):
+            assert await proxy.call("/admin/cordon", "b1\n") == "200"
+            assert await proxy.call("/admin/cordon", "b1") == "200"  # said twice, given back once
+            # the list goes on, tells of it again, of its start and of its leave and return
+            since = 1.0
+            for status in ("active", "leaving", "active", "left", "active"):
+                since += 1.0
+                discovery.change(entry("b1", one.address, status) | {"since_ms": since})
+                for number in range(4):
+                    assert (await proxy.ask(f"h{since}{number}", "read"))[0] == "200"
+            assert not one.seen and len(two.seen) == 20
+            assert await proxy.call("/admin/uncordon", "b1") == "200"
+            for number in range(40):
+                assert (await proxy.ask(f"r{number}", "read"))[0] == "200"
+            assert one.seen
+            for path, name, status in (
+                ("cordon", "b3", "404"), ("uncordon", "b3", "404"), ("cordon", "", "404"), ("nothing", "b1", "404"),
+            ):  # fmt: skip
+                assert await proxy.call(f"/admin/{path}", name) == status
+            assert await proxy.call("/admin/cordon", "b1", "GET") == "405"
+            assert await proxy.call("/admin/uncordon", "b1") == "200"  # not held: it is used already
+
+    run(talk())
+
+
+def test_a_hold_reaches_the_attempt_that_waits_for_its_connection(tmp_path: Path) -> None:
+    """What is decided before the call and would be written after it goes elsewhere."""
+
+    async def talk() -> None:
+        # a backlog of one that nobody empties: connects to it hang in the handshake
+        with socket.socket() as full, socket.socket() as filler:
+            full.bind(("127.0.0.1", 0))
+            full.listen(0)
+            filler.connect(full.getsockname())
+            host, port = full.getsockname()
+            async with Backend() as two, Discovery() as discovery:
+                known = [entry("b1", f"{host}:{port}"), entry("b2", two.address)]
+                discovery.entries = known
+                async with started(tmp_path, configuration(discovery.address, *known)) as proxy:
+                    await discovery.watched.wait()
+                    asked = [asyncio.create_task(proxy.ask(f"w{n}", "read")) for n in range(8)]
+                    await two.asked.wait()
+                    assert await proxy.call("/admin/cordon", "b1") == "200"
+                    filled, _ = full.accept()
+                    assert [status for status, _ in await asyncio.gather(*asked)] == ["200"] * 8
+                    filled.close()
+                    full.setblocking(False)
+                    while True:  # whatever came up after the call was told nothing
+                        try:
+                            late, _ = full.accept()
+                        except BlockingIOError:
+                            break
+                        with late:
+                            late.settimeout(5.0)
+                            assert late.recv(10) == b""
+
+    run(talk())
+
+
+def test_callers_that_stall_hold_up_nobody(tmp_path: Path) -> None:
+    async def talk() -> None:
+        async with two_behind(tmp_path) as (proxy, _one, _two, _):
+            stalled = []
+            for said in (b"", b"GET /adm", b"POST /admin/cordon HTTP/1.1\r\nContent-Length: 9\r\n\r\nb") * 10:
+                reader, writer = await asyncio.open_connection("127.0.0.1", proxy.calls)
+                writer.write(said)
+                stalled.append((reader, writer))
+                assert await proxy.health() == "200"
+            assert proxy.descriptors() < 60
+            reader, writer = await asyncio.open_connection("127.0.0.1", proxy.calls)
+            writer.write(b"\x16\x03\x01 what is this\r\n\r\n")
+            assert (await answer_of(reader))[0] == "400"
+            for _, writer in stalled:
+                writer.close()
+
+    run(talk())
+
+
+def test_emptied_it_says_no_answers_what_comes_keeps_no_connection_and_comes_back(tmp_path: Path) -> None:
+    async def talk() -> None:
+        async with two_behind(tmp_path) as (proxy, _one, _two, _):
+            health = b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n"
+            idle, used, silent = [await proxy.connect() for _ in range(3)]
+            for number, (reader, writer) in enumerate((idle, used)):
+                writer.write(request(f"e{number}"))
+                assert (await answer_of(reader))[0] == "200"
+            assert await proxy.call("/admin/quiesce") == "200"
+            reader, writer = await proxy.connect()
+            writer.write(health)
+            assert (await answer_of(reader))[0] == "503"
+            assert await proxy.health() == "200"  # the process is well
+            used[1].write(request("e9"))
+            head = await used[0].readuntil(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.1 200") and b"Connection: close" in head
+            assert await idle[0].read() == b"" and await silent[0].read() == b""  # both are closed
+            assert (await proxy.ask("late"))[0] == "200"  # the front may not have noticed yet
+            assert await proxy.call("/admin/resume") == "200"
+            reader, writer = await proxy.connect()
+            for _ in range(2):  # and the connection is kept
+                writer.write(health)
+                assert (await answer_of(reader))[0] == "200"
+
+    run(talk())
+
+
+def test_an_upgrade_loses_nothing_and_keeps_what_operators_held(tmp_path: Path) -> None:
+    """Clients ask without a pause while a second process takes the socket over and the first one goes."""
+
+    async def talk() -> None:
+        async with Backend() as one, Backend() as two, Backend() as three:
+            known = [entry("b1", one.address), entry("b2", two.address), entry("b3", three.address)]
+            async with Discovery(*known) as discovery:
+                with socket.socket() as shared:
+                    shared.bind(("127.0.0.1", 0))
+                    shared.listen(64)
+                    config = configuration(discovery.address, *known)
+                    async with started(tmp_path, config, shared) as old:
+                        await discovery.watched.wait()
+                        assert await old.call("/admin/cordon", "b1") == "200"
+                        done = asyncio.Event()
+                        statuses: list[str] = []
+
+                        async def rider(who: int) -> None:
+                            """Keeps its connection as long as it may; one closed between requests is no loss."""
+                            reader, writer = await old.connect()
+                            asked = 0
+                            while not done.is_set():
+                                asked += 1
+                                writer.write(request(f"{who}-{asked}", "read"))
+                                head = await reader.readuntil(b"\r\n\r\n")
+                                statuses.append(head.split()[1].decode())
+                                await reader.readexactly(len(f"{who}-{asked}"))
+                                if b"Connection: close" in head:
+                                    writer.close()
+                                    reader, writer = await old.connect()
+                            writer.close()
+
+                        riders = [asyncio.create_task(rider(n)) for n in range(6)]
+                        async with started(tmp_path, config, shared) as new:
+                            while await new.health() != "200":
+                                await asyncio.sleep(0.01)
+                            assert await new.call("/admin/cordon", "b2") == "200"  # while both serve
+                            await old.log_line("cordoned b2")
+                            before = len(two.seen)
+                            old.signal(signal.SIGTERM)
+                            assert await old.process.wait() == 0
+                            sofar = len(statuses)
+                            while len(statuses) < sofar + 200:
+                                await asyncio.sleep(0.01)
+                            done.set()
+                            await asyncio.gather(*riders)
+                            assert set(statuses) == {"200"}
+                            assert not one.seen and len(two.seen) == before and three.seen
+                            assert await new.call("/admin/uncordon", "b1") == "200"
+                            for number in range(40):
+                                assert (await new.ask(f"n{number}", "read"))[0] == "200"
+                            assert one.seen
+
+    run(talk())
+
+
+def test_a_request_under_way_at_the_end_of_a_drain_is_told_that_it_failed(tmp_path: Path) -> None:
+    """The backend says nothing; the deadline is longer than the time before SIGKILL."""
+
+    async def talk() -> None:
+        async with Backend(lambda head, body: None) as mute:
+            known = [entry("b1", mute.address)]
+            async with Discovery(*known) as discovery:
+                async with started(tmp_path, configuration(discovery.address, *known)) as proxy:
+                    asked = asyncio.create_task(proxy.ask("slow"))
+                    await mute.asked.wait()
+                    proxy.signal(signal.SIGTERM)
+                    assert (await asked)[0] == "504"
+                    assert await proxy.process.wait() == 0
+
+    run(talk())
+
+
+@pytest.mark.parametrize("odd", [b"", b"{", b'{"name": 1}', b"[]", b'{"name":"b1","since_ms":"x","released_ms":0}'])
+def test_an_odd_file_in_the_shared_folder_holds_nothing(tmp_path: Path, odd: bytes) -> None:
+    from dykemux.shared import Hold, Shared
+
+    shared = Shared(tmp_path / "s")
+    (tmp_path / "s" / "hold-odd").write_bytes(odd)
+    (tmp_path / "s" / "process-99999999").write_text("")
+    shared.put(Hold("b2", 5.0))
+    assert shared.look() == ({"b2": Hold("b2", 5.0)}, False)
+    assert shared.others() == []
+    shared.put(Hold("b2", 5.0, 9.0))
+    assert Shared(tmp_path / "s").look()[0] == {"b2": Hold("b2", 5.0, 9.0)}
+    shared.look()
+    shared.forget_before(9.5)
+    assert shared.look() == ({}, False)
+
+
+assert ok  # the shape of answers that `Backend` gives
