Bodies of any size are passed on as they come, both ways, within bounded memory

Now a request up to 512 KiB is held and may be repeated, a longer one streams and is kept up to 1 MiB for a repeat; answers over 64 KiB stream, chunked or to the connection's end where no length is told. Each side is read no faster than the other takes.

Not taken: holding all (32 MB is more than memory holds), spooling to a file (files count as memory there), streaming from the first byte (a slow client would hold a backend's connection, and nothing could be repeated).

--- a/dykemux/backends.py
+++ b/dykemux/backends.py
@@ -19,12 +19,15 @@
 
 from dykemux.config import Config
 from dykemux.http1 import BODY_MOST, DATE, HEAD_MOST, OWS, Budget, Headers, Unreadable, end_to_end
+from dykemux.streams import ANSWER_HOLD_MOST, STREAM_BYTES, STREAM_MOST, Upload
 from flintplank.interface import Outcome
 
 IDLE_SHARE = 0.6  # of the time after which a backend closes an idle connection; ours must close first
 SETTLE_S = 0.005  # a connection rests so long after an answer, so that what comes right behind it is seen
 SILENCE_S = 0.3  # a backend silent for so long in the middle of an answer won't finish it
-RAW_MOST = HEAD_MOST + 2 * BODY_MOST  # bytes of an answer with interim ones and the framing of chunks
+STREAM_SILENCE_S = 2.5  # the same once the client has a part of it: then nothing better can come of a cut
+RAW_MOST = HEAD_MOST + 2 * BODY_MOST  # bytes of an answer with interim ones and the framing of chunks, and
+FRAMING_MOST = 8  # this much for each byte of its body
 JOIN_MOST = 16 << 10  # a body up to this is joined to its head; a larger one is not worth the copy
 
 log = logging.getLogger(__name__)
@@ -35,6 +38,7 @@
 
     head: bytes
     body: bytes | bytearray
+    upload: Upload | None  # in place of a body, where it is passed on as it comes
     out: int  # attempts that have not ended
     over: bool
 
@@ -45,6 +49,15 @@
     budget: Budget
 
     def attempt_ended(self, attempt: Attempt, outcome: Outcome, answer: Answer | None) -> None: ...
+    def stream_began(
+        self, attempt: Attempt, link: Link, answer: Answer, length: int | None
+    ) -> Taker | None: ...
+
+
+class Taker(Protocol):
+    """Who takes an answer as it comes, and tells the link to wait when it can't take more."""
+
+    def push(self, data: bytes) -> None: ...
 
 
 @dataclass(slots=True, eq=False)
@@ -93,6 +106,7 @@
         self.links: set[Link] = set()
         self.idle: dict[Link, None] = {}  # the longest idle first
         self.connects: set[asyncio.Task[None]] = set()
+        self.starved: dict[Link, None] = {}  # answers that wait for room to be passed on
         self.poll = select.poll()
 
     def settle(self, config: Config) -> None:
@@ -217,6 +231,12 @@
         if link is not None and link.attempt is attempt:
             link.transport.abort()
 
+    def feed(self) -> None:
+        """Room has come free: answers that wait for some go on, the longest waiting first."""
+        while self.starved and (link := next(iter(self.starved))).begin():
+            del self.starved[link]
+            link.hold(False)
+
     def sweep(self, now: float) -> None:
         for link in list(self.idle):
             if now - link.idle_at < self.idle_s:
@@ -229,7 +249,8 @@
 
     __slots__ = (
         "abandoned", "address", "attempt", "chunks", "close_ends", "got", "headers", "held", "idle_at",
-        "keep", "node", "parser", "pool", "size", "status", "timer", "transport", "unsent", "whole",
+        "keep", "length", "node", "parser", "pool", "size", "stalled", "status", "taker", "timer",
+        "transport", "unsent", "whole",
     )  # fmt: skip
 
     def __init__(self, pool: Pool, node: Node) -> None:
@@ -247,6 +268,9 @@
         self.size = 0  # of the head, then of the body
         self.held = 0  # bytes taken from the budget
         self.status = 0
+        self.length: int | None = None  # of the body, where the head says so
+        self.taker: Taker | None = None  # of an answer that is passed on as it comes
+        self.stalled = False  # we do not read, so its silence says nothing
         self.whole = False  # the answer's last byte is in
         self.close_ends = False  # the answer is as long as the connection
         self.keep = False
@@ -280,19 +304,59 @@
         self.got, self.size, self.status, self.whole = 0, 0, 0, False
         request, transport = attempt.request, self.transport
         left = max(1, int((attempt.ends_at - now) * 1000.0))
+        if request.upload:
+            left = int(request.upload.left_ms)
         head = b"%bx-deadline-ms: %d\r\n\r\n" % (request.head, left)
-        if len(request.body) <= JOIN_MOST:
+        if request.upload:
+            self.unsent = True
+            transport.write(head)
+            request.upload.attach(self)
+        elif len(request.body) <= JOIN_MOST:
             transport.write(head + request.body)
         else:
             transport.writelines((head, request.body))
         if transport.is_closing():  # the write itself failed, so its last byte was not written
+            self._leave_upload()
             self.attempt = None
             self.pool.end(attempt, Outcome.UNREACHABLE)
-        else:
+        elif not request.upload:
             self.unsent = transport.get_write_buffer_size() > 0
 
+    def push(self, data: bytes) -> None:
+        """More of a request's body."""
+        self.transport.write(data)
+
+    def pushed(self) -> None:
+        """Its last byte stands in our buffer at least."""
+        self.unsent = self.transport.get_write_buffer_size() > 0
+
+    def pause_writing(self) -> None:
+        if (upload := self._upload()) and not upload.whole:
+            upload.source.hold(True)
+
     def resume_writing(self) -> None:
-        self.unsent = False
+        upload = self._upload()
+        self.unsent = upload is not None and not upload.whole
+        if self.unsent and upload:
+            upload.source.hold(False)
+
+    def _upload(self) -> Upload | None:
+        """The body that this connection passes on."""
+        upload = self.attempt.request.upload if self.attempt else None
+        return upload if upload and upload.sink is self else None
+
+    def _leave_upload(self) -> None:
+        if upload := self._upload():
+            upload.detach(self)
+
+    def hold(self, on: bool) -> None:
+        """The client can't take more for now, or can again."""
+        if on != self.stalled and not self.transport.is_closing():
+            self.stalled = on
+            if on:
+                self.transport.pause_reading()
+            else:
+                self.transport.resume_reading()
 
     # Reading.  The parser's callbacks only note; what follows from an answer follows when all of a segment is
     # read, so that no further attempt can meet the rest of it.
@@ -309,11 +373,41 @@
             beyond = True
         if self.whole:
             self._answered(self.keep and not beyond)
-        elif beyond or self.got > RAW_MOST or (not self.status and self.got > HEAD_MOST):
+        elif beyond or self.got > (RAW_MOST + FRAMING_MOST * self.size if self.status else HEAD_MOST):
             self._spoilt()
+        elif self._is_long() and not self.begin():
+            self.hold(True)
+            self.pool.starved[self] = None
         elif self.timer is None:
             self.timer = self.pool.loop.call_later(SILENCE_S, self._silent, self.got)
 
+    def _is_long(self) -> bool:
+        """An answer that is to be passed on as it comes, and is not yet."""
+        if self.taker is not None or self.attempt is None or self.attempt.ended:
+            return False
+        if self.status < 200 or not self._is_served(self.status) or not self.chunks:
+            return False
+        return self.size > ANSWER_HOLD_MOST if self.length is None else self.length > BODY_MOST
+
+    def begin(self) -> bool:
+        """Pass on what came of a long answer, and from now on what comes; False: there is no room yet."""
+        attempt = self.attempt
+        if attempt is None or attempt.ended:
+            return True
+        budget = self.pool.owner.budget
+        if not budget.take(STREAM_BYTES):
+            return False
+        budget.give(self.held)
+        self.held = STREAM_BYTES
+        chunks, self.chunks = self.chunks, []
+        answer = Answer(self.status, self._lines(), b"".join(chunks))
+        self.taker = self.pool.owner.stream_began(attempt, self, answer, self.length)
+        if self.taker is None:  # nobody is there to take it
+            self.pool.give_up(attempt, Outcome.CANCELLED)
+        elif self.timer is None:
+            self.timer = self.pool.loop.call_later(STREAM_SILENCE_S, self._silent, self.got)
+        return True
+
     def _silent(self, got: int) -> None:
         """Guards against answers that stop half-way on a connection that stays open: a length too large, a
         head or a chunk without end.  It might hurt a backend that pauses for long while it writes.
@@ -321,16 +415,19 @@
         self.timer = None
         if self.attempt is None:
             return
-        if self.got == got:
+        if self.got == got and not self.stalled:
             self._spoilt()
         else:
-            self.timer = self.pool.loop.call_later(SILENCE_S, self._silent, self.got)
+            wait = STREAM_SILENCE_S if self.taker else SILENCE_S
+            self.timer = self.pool.loop.call_later(wait, self._silent, self.got)
 
     def on_message_begin(self) -> None:
         if self.whole:
             raise Unreadable  # more than belongs to the answer
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if self.status >= 200 and not self.whole:
+            return  # a trailer, which no client of ours asked for (RFC 9110, 6.5.1); RAW_MOST bounds it
         self.size += len(name) + len(value) + 4
         if self.size > HEAD_MOST or self.whole:
             raise Unreadable
@@ -349,16 +446,22 @@
         # an answer may end with its connection only if it says so: a spoilt head may have lost its length
         if len(lengths) + chunked > 1 or (self.close_ends and not closes):
             raise Unreadable
-        if lengths and (not lengths[0].isdigit() or len(lengths[0]) > 12 or int(lengths[0]) > BODY_MOST):
+        if lengths and (not lengths[0].isdigit() or len(lengths[0]) > 12 or int(lengths[0]) > STREAM_MOST):
             raise Unreadable
+        self.length = int(lengths[0]) if lengths else None
 
     def on_body(self, data: bytes) -> None:
         attempt = self.attempt
         self.size += len(data)
-        if self.size > BODY_MOST:
+        if self.size > STREAM_MOST:
             raise Unreadable
         if attempt is None or attempt.ended or not self._is_served(self.status):
+            if self.size > BODY_MOST:
+                raise Unreadable  # it is not worth its bytes to keep the connection
             return  # read and forgotten
+        if self.taker is not None:
+            self.taker.push(data)
+            return
         if not self.pool.owner.budget.take(len(data)):
             raise Unreadable  # guards memory: like a spoilt one it may have run
         self.held += len(data)
@@ -373,6 +476,7 @@
     def _answered(self, keep: bool) -> None:
         """The answer is whole.  Its connection is kept only if both sides agree where the next one begins."""
         attempt, status, headers, chunks = self.attempt, self.status, self.headers, self.chunks
+        streamed, lines = self.taker is not None, self._lines()
         self._clear()
         if keep and not self.unsent and status != 101 and not self.close_ends:
             self.pool.rest(self)
@@ -380,10 +484,9 @@
             self.transport.abort()
         if attempt is None or attempt.ended:
             return
-        if self._is_served(status):
-            lines = end_to_end(headers)
-            if not any(name == b"date" for name, _ in headers):
-                lines += DATE.now()  # RFC 9110, 6.6.1: who passes on an answer without one adds it
+        if streamed:
+            self.pool.end(attempt, Outcome.SERVED)
+        elif self._is_served(status):
             self.pool.end(attempt, Outcome.SERVED, Answer(status, lines, b"".join(chunks)))
         elif 400 <= status < 500 and not self.pool.any_status:
             # the backend can't use what the client sent, which tells nothing of the backend's health
@@ -392,6 +495,12 @@
             not_run = status in (429, 503, 504) and (b"x-not-run", b"1") in headers
             self.pool.end(attempt, Outcome.REJECTED if not_run else Outcome.ERROR)
 
+    def _lines(self) -> bytes:
+        lines = end_to_end(self.headers)
+        if not any(name == b"date" for name, _ in self.headers):
+            lines += DATE.now()  # RFC 9110, 6.6.1: who passes on an answer without one adds it
+        return lines
+
     def _is_served(self, status: int) -> bool:
         """On the platform only a 200 is the answer to a request; elsewhere all but a server's failing."""
         return status == 200 or (self.pool.any_status and 200 <= status < 500 and status != 429)
@@ -418,9 +527,13 @@
             self.pool.end(attempt, outcome)
 
     def _clear(self) -> None:
-        self.attempt, self.headers, self.chunks = None, [], []
+        self._leave_upload()
+        self.attempt, self.headers, self.chunks, self.taker, self.length = None, [], [], None, None
+        self.pool.starved.pop(self, None)
+        self.hold(False)
         self.pool.owner.budget.give(self.held)
         self.held = 0
+        self.pool.feed()
         if self.timer:
             self.timer.cancel()
             self.timer = None
--- a/dykemux/clients.py
+++ b/dykemux/clients.py
@@ -19,9 +19,9 @@
 
 import httptools
 
+from dykemux.backends import Answer, Link, Taker
 from dykemux.config import Config
 from dykemux.http1 import (
-    BODY_MOST,
     CONTINUE,
     DATE,
     HEAD_MOST,
@@ -36,6 +36,7 @@
     is_host,
 )
 from dykemux.proxy import HINT_MOST_US, Ask, Proxy, Request, Router
+from dykemux.streams import HOLD_MOST, LAST_CHUNK, STREAM_MOST, Upload, chunk
 from flintplank.interface import Effect
 
 BACKLOG = 2048
@@ -51,6 +52,9 @@
 SMALL_BODY, LARGE_SHARE = 16 << 10, 0.85  # larger bodies leave part of the budget to the small ones
 EARLY_MOST = 8  # requests that a client may send ahead of its answers
 SWEEP_S = 0.2
+SLOWEST = 48e3  # bytes a second that a large body comes on with at the least
+PIECE_S = 1.5  # and a piece of it comes within this; 64 kB a second may come in large pieces
+HELD_S = 10.0  # that a client waits for a backend to take more of its body
 REQUEST_S = 2.6  # from the connection, or a later request's first byte, to its last; slow ones take up to 2 s
 IDLE_S, IDLE_LEAST_S = 15.0, 0.1  # between requests: while few are open, and once many are
 SILENT_LEAST_S = 0.5  # for the first byte once many are open; before that REQUEST_S
@@ -215,8 +219,9 @@
     """One client connection."""
 
     __slots__ = (
-        "ask", "begun", "body", "due", "early", "fields", "headers", "last", "length", "owner", "parser",
-        "paused", "phase", "request", "seen", "transport", "url", "welcome", "wrong",
+        "ask", "begun", "body", "chunks", "due", "early", "fields", "headers", "held", "is_old", "last",
+        "length", "owner", "parser", "paused", "phase", "request", "seen", "source", "told", "transport",
+        "upload", "url", "welcome", "wrong",
     )  # fmt: skip
 
     def __init__(self, owner: Clients) -> None:
@@ -233,6 +238,12 @@
         self.fields = self.length = 0  # bytes of the header fields, and of the body
         self.early: deque[tuple[Ask | None, int, bytes | bytearray]] = deque()
         self.request: Request | None = None
+        self.upload: Upload | None = None  # the body being read, where it is passed on as it comes
+        self.told = 0  # bytes that the head says the body has; 0: it does not say
+        self.held = False  # nobody takes what we read
+        self.source: Link | None = None  # of the answer being passed on
+        self.chunks = False  # that answer goes out in chunks
+        self.is_old = False  # the request being answered is of HTTP/1.0
         self.last = False  # no request after this one
         self.paused = False
         self.begun = time.monotonic()
@@ -258,7 +269,9 @@
         except httptools.HttpParserUpgrade:
             self.last = True  # no other protocol is spoken here, so what follows can't be read
         except httptools.HttpParserError:
-            if self.phase is Phase.IDLE and self.last:
+            if self.is_over():
+                pass  # answered while its body was still coming
+            elif self.phase is Phase.IDLE and self.last:
                 self.transport.pause_reading()  # its last request is in; nothing that follows is wanted
             else:
                 self._reject(self.wrong or 400)
@@ -268,6 +281,10 @@
         elif self.seen > HEAD_MOST + (256 << 10):  # guards memory: trailers and chunk extensions without end
             self._reject(400)
 
+    def is_over(self) -> bool:
+        """Nothing more is read but to be forgotten."""
+        return self.phase is Phase.LAST
+
     def on_message_begin(self) -> None:
         if self.phase is Phase.LAST:
             raise Unreadable
@@ -275,7 +292,7 @@
         if self.begun == math.inf:  # the first request's time began with the connection
             self.begun = time.monotonic()
         self.url, self.headers, self.body = b"", [], b""
-        self.ask, self.wrong, self.fields, self.length = None, 0, 0, 0
+        self.ask, self.wrong, self.fields, self.length, self.told = None, 0, 0, 0, 0
         self.phase = Phase.HEAD
         self.due = self.begun + REQUEST_S
 
@@ -325,14 +342,17 @@
         length = fields.get(b"content-length", b"0")
         if not length.isdigit():
             self._refuse(400)
-        if len(length) > 12 or int(length) > BODY_MOST:
+        if len(length) > 12 or int(length) > STREAM_MOST:
             self._refuse(413)
+        self.told = int(length)
         if not self.parser.should_keep_alive():
             self.last = True
         self._read_head(self.parser.get_method(), fields, version)
         if 400 <= self.wrong < 500:
             self._refuse(self.wrong)  # the body need not come
         expects = version == "1.1" and fields.get(b"expect", b"").lower() == b"100-continue"
+        if self.ask:
+            self.ask.is_old = version == "1.0"
         if expects and not self.request:  # RFC 9110, 10.1.1: HTTP/1.0 has no interim answers
             if self.wrong or not self.welcome:
                 self._refuse(self.wrong or 503)
@@ -434,12 +454,21 @@
         )
 
     def on_body(self, data: bytes) -> None:
+        if self.phase is Phase.LAST:
+            raise Unreadable  # answered while it came
         self.length += len(data)
         self.seen = 0
-        if self.length > BODY_MOST:
+        if self.length > STREAM_MOST:
             self._refuse(413)
+        if self.length > SMALL_BODY:  # a large body may take as long as it comes on at the least speed
+            now = time.monotonic()
+            slowest = self.begun + REQUEST_S + self.length / SLOWEST
+            self.due = max(self.begun + REQUEST_S, min(now + PIECE_S, slowest))
         if self.wrong:
             return
+        if self.upload:
+            self.upload.feed(data)
+            return
         if not self.welcome or not self.owner.proxy.budget.take(
             len(data), 1.0 if self.length <= SMALL_BODY else LARGE_SHARE
         ):
@@ -451,13 +480,52 @@
             if isinstance(self.body, bytes):
                 self.body = bytearray(self.body)
             self.body += data
+        if self.length > HOLD_MOST or self.told > HOLD_MOST:
+            self._pass_on()
+
+    def _pass_on(self) -> None:
+        """A body too long to be held goes on to a backend while it comes."""
+        proxy, ask = self.owner.proxy, self.ask
+        if self.request or self.early or ask is None or (ask.name and ask.name in proxy.names):
+            self._forget_body()
+            self.wrong = 503 if self.request or self.early else 400
+            return
+        body, self.body = bytes(self.body), b""
+        framing = b"content-length: %d\r\n" % self.told if self.told else b"transfer-encoding: chunked\r\n"
+        ask.head += framing
+        self.is_old = ask.is_old
+        self.upload = Upload(self, proxy.budget, body, not self.told)
+        request = proxy.arrive(self, ask, b"", self.upload)
+        if request.over:
+            raise Unreadable
+        self.request = request
+
+    def hold(self, on: bool) -> None:
+        """Nobody takes what we read of a long body, or somebody does again."""
+        if on == self.held or self.phase is not Phase.BODY or self.transport.is_closing():
+            return
+        self.held = on
+        if on:
+            self.due = time.monotonic() + HELD_S
+            self.transport.pause_reading()
+        else:
+            self.due = time.monotonic() + PIECE_S
+            self.transport.resume_reading()
 
     def _forget_body(self) -> None:
         self.owner.proxy.budget.give(len(self.body))
         self.body = b""
 
     def on_message_complete(self) -> None:
+        if self.phase is Phase.LAST:
+            raise Unreadable
         self.phase, self.seen, self.due, self.begun = Phase.IDLE, 0, math.inf, math.inf
+        if self.upload:
+            upload, self.upload, self.ask = self.upload, None, None
+            upload.finish()
+            if self.request:
+                self.owner.proxy.uploaded(self.request)
+            return
         read = (self.ask, self.wrong, self.body)
         self.body, self.headers, self.ask, self.url = b"", [], None, b""
         if self.request is None and not self.early:
@@ -483,6 +551,7 @@
         # a body of the framing that backends get: always its length
         if body or ask.is_write:
             ask.head += b"content-length: %d\r\n" % len(body)
+        self.is_old = ask.is_old
         request = proxy.arrive(self, ask, body)
         self.request = None if request.over else request
 
@@ -490,7 +559,16 @@
 
     def answer(self, status: int, lines: bytes, body: bytes = b"") -> None:
         self.last = self.last or self.owner.is_leaving()
+        if self.upload:  # its body still comes, and nobody wants the rest
+            self.upload, self.last = None, True
+            self.phase = Phase.LAST
+            if self.held:
+                self.held = False
+                self.transport.resume_reading()  # to be forgotten
         self.transport.write(answer_head(status, lines, len(body), self.last and not self.early) + body)
+        self._answered()
+
+    def _answered(self) -> None:
         self.request = None
         if self.early:
             self.owner.loop.call_soon(self._serve_early)
@@ -500,6 +578,34 @@
             self.due = time.monotonic() + IDLE_S
             self.owner.idle[self] = None
 
+    def begin(self, link: Link, answer: Answer, length: int | None) -> Taker | None:
+        """A long answer, passed on as it comes; `length` None: its head does not say."""
+        if self.transport.is_closing() or self.upload:
+            return None
+        self.chunks = length is None and not self.is_old
+        self.last = self.last or self.owner.is_leaving() or (length is None and self.is_old)
+        self.source = link
+        close = self.last and not self.early
+        self.transport.write(answer_head(answer.status, answer.lines, length, close, self.chunks))
+        self.push(answer.body)
+        return self
+
+    def push(self, data: bytes) -> None:
+        if data:
+            self.transport.write(chunk(data) if self.chunks else data)
+
+    def finish(self) -> None:
+        """The last byte of a long answer is out."""
+        self.source = None
+        if self.chunks:
+            self.transport.write(LAST_CHUNK)
+        self._answered()
+
+    def cut(self) -> None:
+        """A long answer can't be finished: an end without its last byte says so."""
+        self.source = None
+        self.transport.abort()
+
     def _serve_early(self) -> None:
         if self.early and self.request is None and not self.transport.is_closing():
             read = self.early.popleft()
@@ -512,12 +618,16 @@
         self.paused = True
         self.due = time.monotonic() + WRITE_S
         self.transport.pause_reading()
+        if self.source:
+            self.source.hold(True)
 
     def resume_writing(self) -> None:
         self.paused = False
         self.due = math.inf if self.request else time.monotonic() + LINGER_S
-        if not self.early:
+        if not self.early and not self.held:
             self.transport.resume_reading()
+        if self.source:
+            self.source.hold(False)
 
     def _reject(self, status: int) -> None:
         """Answer what can't be served.  Answers owed for what came before it go out first, and alone."""
@@ -525,6 +635,10 @@
         self.url, self.headers, self.ask = b"", [], None
         self.owner.idle.pop(self, None)
         self.phase, self.last, self.due = Phase.LAST, True, math.inf
+        if self.upload:  # it can't be finished, so what went out of it never runs
+            self.upload, request, self.request = None, self.request, None
+            if request:
+                self.owner.proxy.client_gone(request)
         if self.request is None and not self.early:
             self.transport.write(answer_head(status, DATE.now(), 0, True))
             self._linger()
@@ -540,7 +654,9 @@
     # Ending.
 
     def overdue(self) -> None:
-        if self.request or self.early:
+        if self.upload:
+            self._reject(408)
+        elif self.request or self.early:
             if self.paused:
                 self.transport.abort()  # it does not take the answers it has
             else:
--- a/dykemux/http1.py
+++ b/dykemux/http1.py
@@ -48,10 +48,14 @@
     return b"".join([b"%b: %b\r\n" % header for header in kept])
 
 
-def answer_head(status: int, lines: bytes, length: int, close: bool) -> bytes:
-    """The head of an answer to a client."""
+def answer_head(
+    status: int, lines: bytes, length: int | None, close: bool, chunked: bool = False
+) -> bytes:
+    """The head of an answer to a client.  Without a length it is chunked or ends with its connection."""
     # RFC 9110, 8.6: no length with 204; that of a 304 would be the length of what is not sent
-    framing = b"" if status in (204, 304) else b"Content-Length: %d\r\n" % length
+    framing = b"Transfer-Encoding: chunked\r\n" if chunked else b""
+    if length is not None and status not in (204, 304):
+        framing = b"Content-Length: %d\r\n" % length
     ending = b"Connection: close\r\n\r\n" if close else b"\r\n"
     return b"HTTP/1.1 %d %b\r\n%b%b%b" % (status, REASONS.get(status, b""), lines, framing, ending)
 
--- a/dykemux/proxy.py
+++ b/dykemux/proxy.py
@@ -16,14 +16,16 @@
 from dataclasses import dataclass, field
 from typing import Protocol, cast
 
-from dykemux.backends import Answer, Attempt, Node, Pool
+from dykemux.backends import Answer, Attempt, Link, Node, Pool, Taker
 from dykemux.config import Config
 from dykemux.discovery import Discovery, Member, Members
 from dykemux.http1 import DATE, Budget
 from dykemux.shared import Hold
+from dykemux.streams import Upload
 from flintplank import interface as api
 from flintplank.choice import Balancer
 
+UPLOAD_MOST_S = 600.0  # that a body may take to come: 32 MB at 64 kB a second, and some to spare
 RETRY_TIMER_S = 0.2  # a timer that the module failed on comes again
 HINT_MOST_US = 60e6  # a dearer hint would fill the boards with one request
 
@@ -49,6 +51,18 @@
 
     def answer(self, status: int, lines: bytes, body: bytes = b"") -> None: ...
 
+    def begin(self, link: Link, answer: Answer, length: int | None) -> Taker | None:
+        """Take an answer as it comes; None: it can't be taken so."""
+        return None
+
+    def finish(self) -> None:
+        """That answer's last byte was handed over."""
+        return None
+
+    def cut(self) -> None:
+        """That answer can't be finished."""
+        return None
+
 
 @dataclass(slots=True)
 class Ask:
@@ -65,6 +79,7 @@
     is_write: bool = False
     policy: api.RoutePolicy | None = None
     repeat_key: bytes = b""  # Idempotency-Key
+    is_old: bool = False  # HTTP/1.0
 
 
 @dataclass(slots=True, eq=False)
@@ -80,6 +95,8 @@
     over: bool = False
     last: api.Outcome = api.Outcome.NOT_SENT
     name: bytes = b""  # the client's id
+    upload: Upload | None = None
+    stream: Attempt | None = None  # whose answer the client gets as it comes
 
 
 def number_of(name: bytes) -> int:
@@ -194,15 +211,20 @@
 
     # The life of a request.
 
-    def arrive(self, client: Asker, ask: Ask, body: bytes | bytearray) -> Request:
-        """A request whose last byte is in.  From here on one final answer is owed."""
+    def arrive(
+        self, client: Asker, ask: Ask, body: bytes | bytearray, upload: Upload | None = None
+    ) -> Request:
+        """A request whose last byte is in, or a long one under way.  It is owed one final answer."""
         now = time.monotonic()
         left_ms = ask.time_left_ms
         if left_ms is None:
             klass = ask.policy.klass if ask.policy else self.classes.get(ask.klass)
             left_ms = klass.deadline_ms if klass else self.deadline_most_ms
+        if upload:  # its time begins with its last byte; how fast it comes is its connection's to judge
+            upload.left_ms, left_ms = left_ms, left_ms + UPLOAD_MOST_S * 1000.0
         self.last_ident += 1
-        request = Request(self.last_ident, client, ask.head, body, now + left_ms / 1000.0, name=ask.name)
+        deadline = now + left_ms / 1000.0
+        request = Request(self.last_ident, client, ask.head, body, deadline, name=ask.name, upload=upload)
         self.requests[request.ident] = request
         if request.name:
             self.names.add(request.name)
@@ -223,6 +245,18 @@
         )
         return request
 
+    def uploaded(self, request: Request) -> None:
+        """The last byte is in: from here on its time runs, and that of the backend that has it."""
+        if request.over or not request.upload:
+            return
+        now, left = time.monotonic(), request.upload.left_ms / 1000.0
+        request.deadline = now + left
+        if request.timer:
+            request.timer.cancel()
+        request.timer = self.loop.call_later(left, self._deadline, request)
+        for attempt in request.attempts:
+            attempt.started, attempt.ends_at = now, min(attempt.ends_at, request.deadline)
+
     def _start(self, wanted: api.StartAttempt) -> None:
         ident, backend, timeout_ms = wanted.request, wanted.backend, wanted.timeout_ms
         request, now = self.requests[ident], time.monotonic()
@@ -233,6 +267,7 @@
         attempt = Attempt(request, number, node or Node(backend, "", ("", 0), 0.0), now, ends_at, send_by)
         request.attempts.append(attempt)
         barred = request.over or number >= self.settings.max_attempts
+        barred = barred or (request.upload is not None and not request.upload.may_start())
         if barred or node is None or now >= ends_at:
             attempt.ended = True
             self.tell(api.AttemptEnded(ident, number, backend, api.Outcome.NOT_SENT, 0.0, request.over))
@@ -245,6 +280,10 @@
     def attempt_ended(self, attempt: Attempt, outcome: api.Outcome, answer: Answer | None) -> None:
         request, node = cast(Request, attempt.request), attempt.node
         request.last = outcome
+        if attempt is request.stream:
+            self._stream_ended(request, outcome)
+            self._forget(node)
+            return
         if answer and request.client:
             client = request.client
             self._over(request)
@@ -255,6 +294,34 @@
         self.tell(api.AttemptEnded(*ids, outcome, took_ms, request.over))
         self._forget(node)
 
+    def stream_began(self, attempt: Attempt, link: Link, answer: Answer, length: int | None) -> Taker | None:
+        """A long answer goes to the client as it comes.  The work is done and the decisions are over, so the
+        module hears its end here: what follows takes as long as the client does.
+        """
+        request = cast(Request, attempt.request)
+        taker = request.client.begin(link, answer, length) if request.client and not request.stream else None
+        if taker is None:
+            return None
+        request.stream = attempt
+        for timer in (request.timer, attempt.timer):
+            if timer:
+                timer.cancel()
+        ids = (request.ident, attempt.number, attempt.node.number)
+        self.tell(api.AttemptEnded(*ids, api.Outcome.SERVED, self._since(attempt), True))
+        for other in request.attempts:
+            if other is not attempt and not other.ended:
+                self.pool.give_up(other, api.Outcome.CANCELLED)
+        return taker
+
+    def _stream_ended(self, request: Request, outcome: api.Outcome) -> None:
+        client = request.client
+        self._over(request)
+        if client and outcome is api.Outcome.SERVED:
+            client.finish()
+        elif client:
+            client.cut()  # what is missing can't come; the client can tell that it has not all
+        self._drop(request.ident)
+
     def _since(self, attempt: Attempt) -> float:
         return (time.monotonic() - attempt.started) * 1000.0
 
@@ -264,8 +331,15 @@
         """
         if request.over:
             return
+        stream, upload = request.stream, request.upload
         self._over(request)
+        if stream:
+            self.pool.give_up(stream, api.Outcome.CANCELLED)
+            return
         self.tell(api.ClientGone(request.ident))
+        if upload and not upload.whole:  # it can't be finished, so it never runs
+            for attempt in request.attempts:
+                self.pool.give_up(attempt, api.Outcome.CANCELLED)
 
     def _deadline(self, request: Request) -> None:
         left = request.deadline - time.monotonic()
@@ -300,6 +374,8 @@
         request.over, request.client = True, None
         self.budget.give(len(request.body))
         request.head = request.body = b""
+        if request.upload:
+            request.upload.forget()
         if not request.out and request.timer:
             request.timer.cancel()
 
