--- a/dykemux/backends.py
+++ b/dykemux/backends.py
@@ -22,6 +22,8 @@
 from dykemux.streams import ANSWER_HOLD_MOST, STREAM_BYTES, STREAM_MOST, Upload
 from flintplank.interface import Outcome
 
+LEAST_SHARE = 0.45  # of the backends' descriptors that clients may never have
+LEND_SPARE = 8  # descriptors beyond those in use that clients may not have either
 IDLE_SHARE = 0.6  # of the time after which a backend closes an idle connection; ours must close first
 SETTLE_S = 0.005  # a connection rests so long after an answer, so that what comes right behind it is seen
 SILENCE_S = 0.3  # a backend silent for so long in the middle of an answer won't finish it
@@ -106,6 +108,7 @@
         self.links: set[Link] = set()
         self.idle: dict[Link, None] = {}  # the longest idle first
         self.connects: set[asyncio.Task[None]] = set()
+        self.lent = 0  # descriptors of ours that clients have
         self.starved: dict[Link, None] = {}  # answers that wait for room to be passed on
         self.poll = select.poll()
 
@@ -120,6 +123,17 @@
         """Descriptors in use or about to be, so that EMFILE is never how we find out."""
         return len(self.links) + len(self.connects)
 
+    def lend(self, wanted: int) -> int:
+        """How many of our descriptors clients may have: of those that wait for a next attempt, all but a few.
+
+        A crowd that sends its requests slowly needs connections on one side and hardly any on the other.
+        """
+        busy = self.open() - len(self.idle)
+        self.lent = max(0, min(wanted, self.most - max(int(self.most * LEAST_SHARE), busy + LEND_SPARE)))
+        while self.idle and self.open() > self.most - self.lent:
+            self.close_link(next(iter(self.idle)))
+        return self.lent
+
     def start(self, attempt: Attempt) -> None:
         node = attempt.node
         attempt.request.out += 1
@@ -128,9 +142,9 @@
         if link is not None:
             self._send(link, attempt)
             return
-        if self.open() >= self.most and self.idle:
+        if self.open() >= self.most - self.lent and self.idle:
             self.close_link(next(iter(self.idle)))
-        if self.open() >= self.most:
+        if self.open() >= self.most - self.lent:
             self.end(attempt, Outcome.NOT_SENT)
             return
         task = self.loop.create_task(self._connect(attempt))
--- a/dykemux/clients.py
+++ b/dykemux/clients.py
@@ -137,7 +137,9 @@
         if self.idle:
             next(iter(self.idle)).close()
             return True
-        if len(self.open) > self.most + self.crowd_most:
+        if self.proxy.pool.lend(len(self.open) - self.most) >= len(self.open) - self.most:
+            return True
+        if len(self.open) > self.most + self.proxy.pool.lent + self.crowd_most:
             # guards the descriptors: whoever is turned away goes, or has been sending its request for longest
             slow = [other for other in self.open if not other.request and not other.early]
             min(slow, key=lambda other: (other.phase is not Phase.LAST, other.begun), default=client).abort()
@@ -147,6 +149,8 @@
         self.open.pop(client, None)
         self.idle.pop(client, None)
         self.silent.pop(client, None)
+        if self.proxy.pool.lent:
+            self.proxy.pool.lend(len(self.open) - self.most)
 
     def _sweep(self) -> None:
         self.loop.call_later(SWEEP_S, self._sweep)
