--- a/dykemux/clients.py
+++ b/dykemux/clients.py
@@ -20,7 +20,7 @@
 import httptools
 
 from dykemux.backends import Answer, Link, Taker
-from dykemux.config import Config
+from dykemux.config import Config, beside
 from dykemux.http1 import (
     CONTINUE,
     DATE,
@@ -93,6 +93,7 @@
         self.loop = loop
         self.proxy = proxy
         self.listens = config.listen
+        self.config = config
         self.reload(config)
         self.open: dict[Client, None] = {}
         self.silent: dict[Client, None] = {}  # those that have not sent a byte, the oldest first
@@ -102,7 +103,14 @@
         self.accepted_at = 0.0
         self.servers: list[asyncio.Server] = []
 
+    def make_room(self, taken: int) -> None:
+        """Other processes of this proxy hold so many descriptors of those that are for all of them."""
+        fewer = beside(self.config, taken) if taken else self.config
+        self.most, self.crowd_most = fewer.client_sockets, fewer.crowd_sockets
+        self.proxy.pool.settle(fewer)
+
     def reload(self, config: Config) -> None:
+        self.config = config
         self.most, self.crowd_most = config.client_sockets, config.crowd_sockets
         if config.listen != self.listens and not config.listed:  # else the host tells of its listeners
             log.error("reload: listen: a new address needs a restart; %s:%d stays", *self.listens)
--- a/dykemux/config.py
+++ b/dykemux/config.py
@@ -10,7 +10,7 @@
 import json
 import resource
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
@@ -47,6 +47,7 @@
     backend_sockets: int
     listed: bool = False  # a reload takes `known` as the whole list
     mgmt: tuple[str, int] | None = None  # where operators call; None: nowhere
+    sockets: int = 0  # of all processes of this proxy together
     any_status: bool = False  # answers other than 200 are served too, unless they are of the server's failing
 
 
@@ -96,9 +97,17 @@
         grace,
         *shares_of(memory, sockets),
         mgmt=mgmt,
+        sockets=sockets,
     )
 
 
+def beside(config: Config, taken: int) -> Config:
+    """The same where other processes of this proxy hold that many descriptors: they count together."""
+    left = max(2 * OWN_DESCRIPTORS, config.sockets - taken)
+    _, client, crowd, backend = shares_of(0.0, left)
+    return replace(config, client_sockets=client, crowd_sockets=crowd, backend_sockets=backend)
+
+
 def shares_of(memory_mb: float, sockets: int) -> tuple[int, int, int, int]:
     """Bytes of bodies, then sockets of clients, of a crowd beyond them, and of backends."""
     shared = sockets - OWN_DESCRIPTORS
--- a/dykemux/operators.py
+++ b/dykemux/operators.py
@@ -39,6 +39,7 @@
         self.proxy = proxy
         self.clients = clients
         self.shared = shared
+        self.taken = 0  # descriptors, by the proxy's other process
         if shared is not None:
             self._watch()
 
@@ -54,6 +55,9 @@
             holds, emptying = self.shared.look()
             self.proxy.settle_holds(holds)
             self.clients.empty(emptying)
+            if (taken := self.shared.taken(self.clients.config.sockets)) != self.taken:
+                self.taken = taken
+                self.clients.make_room(taken)
 
     def carry_out(self, order: str, name: str) -> bool:
         """Whether it is done, and known to whoever shares the folder.  Raises OSError if it can't be kept."""
--- a/flintplank/overload.py
+++ b/flintplank/overload.py
@@ -46,9 +46,9 @@
 class Full:
     """Whether a server has just turned an attempt away, and so is passed over while others have room.
 
-    A rejection leaves nothing on its books, so the lightest booked is often the one that is full.  Passed over
-    for longer, its room is found late: with 25 to 400 ms the overload day fell from 0.33 to 0.12 in simulated
-    time.  Where all are full, the lightest is asked all the same.
+    A rejection leaves nothing on its books, so the lightest booked is often the one that is full.  Passed
+    over for longer, its room is found late: with 25 to 400 ms the overload day fell from 0.33 to 0.12 in
+    simulated time.  Where all are full, the lightest is asked all the same.
     """
 
     __slots__ = ("pause_ms", "until")
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -142,3 +142,22 @@
                     assert await answer_of(reader) == ("200", b"z1")  # few are left then, and they may stay
 
     run(talk())
+
+
+def test_slow_clients_borrow_what_backends_do_not_use(tmp_path: Path) -> None:
+    """96 descriptors leave clients 30 of their own; 40 with half a head must not keep the next one out."""
+
+    async def talk() -> None:
+        async with Backend() as backend:
+            known = [entry("b1", backend.address)]
+            async with Discovery(*known) as discovery:
+                async with node(tmp_path, configuration(discovery.address, *known, sockets=96)) as proxy:
+                    slow = [await proxy.connect() for _ in range(40)]
+                    for _, writer in slow:
+                        writer.write(HEAD)
+                    assert await proxy.ask("a1") == ("200", b"a1")
+                    assert proxy.descriptors() <= 96
+                    for _, writer in slow:
+                        writer.close()
+
+    run(talk())
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -292,3 +292,35 @@
     shared.look()
     shared.forget_before(9.5)
     assert shared.look() == ({}, False)
+
+
+def test_two_processes_of_one_proxy_keep_to_its_descriptors_together(tmp_path: Path) -> None:
+    """A crowd meets the successor while the predecessor still holds its own."""
+
+    async def talk() -> None:
+        async with Backend() as one:
+            known = [entry("b1", one.address)]
+            async with Discovery(*known) as discovery:
+                with socket.socket() as shared:
+                    shared.bind(("127.0.0.1", 0))
+                    shared.listen(512)
+                    config = configuration(discovery.address, *known, sockets=160)
+                    async with (
+                        started(tmp_path, config, shared) as old,
+                        started(tmp_path, config, shared) as new,
+                    ):
+                        while await new.health() != "200":
+                            await asyncio.sleep(0.01)
+                        most, crowd = 0, []
+                        for _ in range(300):
+                            _, writer = await old.connect()
+                            crowd.append(writer)
+                            writer.write(b"POST /save/")  # half a head: not silent
+                            most = max(most, old.descriptors() + new.descriptors())
+                        # the crowd goes again after 2.6 s; until then what is open is at its highest
+                        for _ in range(100):
+                            most = max(most, old.descriptors() + new.descriptors())
+                            await asyncio.sleep(0.01)
+                        assert 100 < most <= 160
+
+    run(talk())
