--- /dev/null
+++ b/bench/long_bodies.py
@@ -0,0 +1,132 @@
+"""Long bodies through the proxy against the same straight from the backend: bytes a second and memory.
+
+    .venv-cli/bin/python bench/long_bodies.py [MB] [STREAMS]
+
+Bodies of MB (16) in STREAMS (8) at once, up and down, in turns with and without the proxy; each row is the median of
+five turns.  A last row has clients that read nothing: what the proxy then holds for each.  All on loopback; the
+ratio within a run is what counts.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import statistics
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+HERE = Path(__file__).parent.parent
+TURNS = 5
+PIECE = os.urandom(1 << 16)
+
+
+async def backend(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Reads a request of any length; a GET is answered with as many bytes as its path says."""
+    try:
+        while True:
+            head = (await reader.readuntil(b"\r\n\r\n")).lower()
+            left = int(head.partition(b"content-length:")[2].split(b"\r\n")[0] or 0)
+            while left:
+                left -= len(await reader.read(min(left, 1 << 18)))
+            gives = int(head.split()[1].rpartition(b"/")[2]) if head.startswith(b"get") else 0
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % gives)
+            for _ in range(gives // len(PIECE)):
+                writer.write(PIECE)
+                await writer.drain()
+    except (OSError, asyncio.IncompleteReadError):
+        writer.close()
+
+
+async def one(address: tuple[str, int], up: bool, size: int, number: int) -> None:
+    reader, writer = await asyncio.open_connection(*address)
+    ident = f"{time.monotonic_ns()}-{number}"
+    common = f"Host: x\r\nX-Request-Id: {ident}\r\n"
+    if up:
+        keyed = f"Idempotency-Key: {ident}\r\nContent-Length: {size}\r\n\r\n"
+        writer.write(f"POST /save/{size} HTTP/1.1\r\n{common}{keyed}".encode())
+        for _ in range(size // len(PIECE)):
+            writer.write(PIECE)
+            await writer.drain()
+    else:
+        writer.write(f"GET /read/{size} HTTP/1.1\r\n{common}\r\n".encode())
+    head = await reader.readuntil(b"\r\n\r\n")
+    if b" 200 " not in head.split(b"\r\n")[0]:
+        raise SystemExit(f"long_bodies: answered {head!r}")
+    left = 0 if up else size
+    while left:
+        left -= len(await reader.read(1 << 18))
+    writer.close()
+
+
+async def many(address: tuple[str, int], up: bool, size: int, streams: int) -> float:
+    """Bytes a second of all streams together."""
+    began = time.perf_counter()
+    await asyncio.gather(*(one(address, up, size, number) for number in range(streams)))
+    return size * streams / (time.perf_counter() - began)
+
+
+def memory_mb(process: int, field: str) -> float:
+    text = Path(f"/proc/{process}/status").read_text()
+    return int(text.partition(field)[2].split()[0]) / 1024
+
+
+async def main() -> None:
+    size = (int(sys.argv[1]) if len(sys.argv) > 1 else 16) << 20
+    streams = int(sys.argv[2]) if len(sys.argv) > 2 else 8
+    server = await asyncio.start_server(backend, "127.0.0.1", 0, limit=1 << 18)
+    host, port = server.sockets[0].getsockname()
+    classes = [
+        {"Name": "save", "HardLimitMs": 60000.0, "Effect": "deduplicated", "RepeatWindowMs": 5000.0},
+        {"Name": "read", "HardLimitMs": 60000.0, "Effect": "idempotent"},
+    ]
+    member = {"name": "b1", "address": f"{host}:{port}", "status": "active"}
+    told = {
+        "discovery": "127.0.0.1:9", "seed": "1", "limits": {"memory_mb": 80, "sockets": 256},
+        "known": {"index": 1, "snapshot": True, "endpoints": [member]},
+        "settings": {"Categories": classes, "Discovery": "push", "Limits": {"MostTries": 2}},
+    }  # fmt: skip
+    with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+        json.dump(told, file)
+        file.flush()
+        names = {"LB_NAME": "bench", "LB_LISTEN": "127.0.0.1:0", "LB_CONFIG": file.name}
+        proxy = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "dykemux", cwd=HERE, env=os.environ | names, stderr=asyncio.subprocess.PIPE
+        )
+        assert proxy.stderr
+        try:
+            while b"listening" not in (line := await proxy.stderr.readline()):
+                if not line:
+                    raise SystemExit("long_bodies: the proxy did not start")
+            through = ("127.0.0.1", int(line.rsplit(b":", 1)[1]))
+            idle = memory_mb(proxy.pid, "VmRSS:")
+            for up, name in ((True, "up"), (False, "down")):
+                rates = [(await many((host, port), up, size, streams), await many(through, up, size, streams))
+                         for _ in range(TURNS)]  # fmt: skip
+                straight = statistics.median(rate for rate, _ in rates)
+                proxied = statistics.median(rate for _, rate in rates)
+                ratio = statistics.median(b / a for a, b in rates)
+                print(f"{name:5} {straight / 1e6:7.0f} MB/s straight {proxied / 1e6:7.0f} through, ratio {ratio:.2f}")
+            print(f"memory {idle:.1f} MB before, {memory_mb(proxy.pid, 'VmHWM:'):.1f} MB at most")
+            stuck = []
+            for number in range(32):
+                _, writer = await asyncio.open_connection(*through)
+                writer.transport.pause_reading()  # type: ignore[attr-defined]
+                writer.write(f"GET /read/{size} HTTP/1.1\r\nHost: x\r\nX-Request-Id: s{number}\r\n\r\n".encode())
+                stuck.append(writer)
+            before = memory_mb(proxy.pid, "VmRSS:")
+            await asyncio.sleep(2.0)
+            each = (memory_mb(proxy.pid, "VmRSS:") - before) * 1024 / len(stuck)
+            print(f"{len(stuck)} clients that read nothing: {each:.0f} KiB each")
+            for writer in stuck:
+                writer.transport.abort()
+        finally:
+            proxy.terminate()
+            await proxy.wait()
+            server.close()
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
