A long body that found no room is not passed on without its first bytes

Cause: where the budget refused a piece, the body was forgotten and marked 503, and the code went on to pass on its rest; the test with 1 MiB for all bodies shows it.

--- a/dykemux/backends.py
+++ b/dykemux/backends.py
@@ -193,6 +193,10 @@
         if node.held or (not node.listed and now > node.told_off_at + self.grace):
             link.transport.abort()
             self.end(attempt, Outcome.NOT_SENT)
+        elif attempt.request.upload and not attempt.request.upload.may_start():
+            # guards rule 1: part of the body has gone while this connection came up
+            self.rest(link)
+            self.end(attempt, Outcome.NOT_SENT)
         elif now >= attempt.send_by:
             # guards rule 2: the group may have forgotten the first by now; the module's own check came before
             # a connect, or before a stall of this process
--- a/dykemux/clients.py
+++ b/dykemux/clients.py
@@ -492,7 +492,8 @@
             if isinstance(self.body, bytes):
                 self.body = bytearray(self.body)
             self.body += data
-        if self.length > HOLD_MOST or self.told > HOLD_MOST:
+        # guards rule 1: one that found no room has lost its first bytes, and its rest is nobody's
+        if not self.wrong and (self.length > HOLD_MOST or self.told > HOLD_MOST):
             self._pass_on()
 
     def _pass_on(self) -> None:
--- a/dykemux/streams.py
+++ b/dykemux/streams.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Protocol
 
 from dykemux.http1 import Budget
@@ -77,14 +78,15 @@
     def feed(self, data: bytes) -> None:
         if self.prefix is not None:
             fits = self.held + len(data) <= 2 * HOLD_MOST and self.budget.take(len(data))
-            if fits:
+            # guards rule 1: what has gone nowhere yet must be kept, room or not; reading stops behind it
+            if fits or (self.sink is None and self.budget.take(len(data), math.inf)):
                 self.held += len(data)
                 self.prefix.append(data)
             else:
                 self.forget()  # guards memory: it can't be sent again from here on
         if self.sink is not None:
             self.sink.push(chunk(data) if self.chunked else data)
-        elif self.held > HOLD_MOST:
+        elif self.prefix is not None and self.held > HOLD_MOST:
             self.source.hold(True)  # until there is somewhere to send it
 
     def finish(self) -> None:
--- a/flintplank/choice.py
+++ b/flintplank/choice.py
@@ -11,7 +11,7 @@
 
 from flintplank import interface as api
 from flintplank.maintenance import Maintenance
-from flintplank.overload import Full, TurnedAway
+from flintplank.overload import TurnedAway
 
 PERIOD_MS = 200.0  # between two updates of the weights (paper)
 SLOT_MS = 200.0  # one slot holds this much work (ours: one slot a period keeps booking cheap)
@@ -96,7 +96,6 @@
     held: float = 0.0  # of the attempts still out, in mean costs
     strikes: float = 0.0  # failures not yet made up for
     rests_until: float = 0.0  # it takes no turns before
-    full: Full = field(default_factory=Full)
 
     def learn(self, ratio: float) -> None:
         """Follow a low percentile of served time over cost: quick down, slow up."""
@@ -294,9 +293,7 @@
         limit = lightest.load + lightest.held + KEY_SLACK
         tried = [attempt.to for attempt in request.attempts]
         for home in (self.backends[ident] for ident in self.homes[key]):
-            if home.load + home.held > limit or home in tried or home.full.until > now:
-                continue
-            if self._ready(now, home):
+            if home.load + home.held <= limit and home not in tried and self._ready(now, home):
                 return home
         return lightest
 
@@ -312,7 +309,7 @@
 
     def _top(self, turns: list[tuple[float, float, int]], now: float, tried: list[Attempt]) -> Backend | None:
         aside: list[tuple[float, float, int]] = []
-        chosen = full = None
+        chosen = None
         while turns and chosen is None:
             weight, turn, ident = entry = heappop(turns)
             backend = self.backends.get(ident)
@@ -323,12 +320,10 @@
                 continue
             aside.append(entry)  # the chosen one's entry goes stale with the send
             if not any(attempt.to is backend for attempt in tried):
-                if backend.full.until <= now:
-                    chosen = backend
-                full = full or backend
+                chosen = backend
         for entry in aside:
             heappush(turns, entry)
-        return chosen or full
+        return chosen
 
     # The request's life: rules 1 and 2.
 
@@ -357,9 +352,6 @@
         self.ended.now += attempt.may_have_run
         if ended.outcome is api.Outcome.REJECTED:
             self.turned_away.saw(True)
-            attempt.to.full.turned_away(now, self.random.uniform(0.5, 1.5))
-        elif attempt.may_have_run:
-            attempt.to.full.took()
         self._judge(now, attempt, ended)
         if ended.outcome is api.Outcome.SERVED:
             self.served.now += attempt.cost
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -161,6 +161,26 @@
     run(talk())
 
 
+def test_a_long_body_that_finds_no_room_reaches_no_backend_in_part(tmp_path: Path) -> None:
+    async def talk() -> None:
+        backend = Digests()
+        async with backend:
+            known = [entry("b1", backend.address)]
+            async with Discovery(*known) as discovery:
+                config = configuration(discovery.address, *known, memory_mb=30)  # 1 MiB for bodies
+                async with node(tmp_path, config) as proxy:
+                    _, first = await proxy.connect()
+                    first.write(head("r1", f"Content-Length: {len(LONG)}") + LONG[:900_000])
+                    await backend.begun.wait()
+                    reader, writer = await proxy.connect()
+                    writer.write(head("r2", "Content-Length: 2000000") + LONG[:2_000_000])
+                    assert (await answer_of(reader))[0] == "503"
+                    assert [told["x-request-id"] for told in backend.heads] == ["r1"]
+                    first.transport.abort()
+
+    run(talk())
+
+
 def memory_kb(process: int) -> int:
     lines = Path(f"/proc/{process}/status").read_text().splitlines()
     return next(int(line.split()[1]) for line in lines if line.startswith("VmRSS"))
@@ -354,6 +374,16 @@
     assert second.got == first.got
     upload.feed(b"c" * HOLD_MOST)  # more than is kept
     assert not upload.may_start() and budget.used == 0
+    late = Peer()
+    tight = Budget(HOLD_MOST + 1)
+    assert tight.take(HOLD_MOST + 1)
+    waits = Upload(client, tight, b"a" * (HOLD_MOST + 1), chunked=False)
+    waits.feed(b"b" * HOLD_MOST)  # no room for it, and nowhere to send it
+    assert waits.may_start() and client.holds[-1] is True
+    waits.attach(late)
+    assert len(late.got) == 2 * HOLD_MOST + 1
+    waits.feed(b"c")
+    assert not waits.may_start() and late.got.endswith(b"bc") and tight.used == 0
     upload.detach(first)  # one that has it no more
     upload.finish()
     assert second.ended and len(second.got) == 2 * HOLD_MOST + 2 and not first.ended
