Processes of one proxy share descriptors by what the other holds, not by halves

Each now keeps to what the other does not hold, asked at each accept while there is another. The loopback crowd stays within 160 of 160, 240 without the guard.

--- a/dykemux/clients.py
+++ b/dykemux/clients.py
@@ -14,6 +14,7 @@
 import socket
 import time
 from collections import deque
+from collections.abc import Callable
 from enum import Enum
 from typing import cast
 
@@ -94,6 +95,7 @@
         self.proxy = proxy
         self.listens = config.listen
         self.config = config
+        self.before_accept: Callable[[], None] | None = None  # while another process shares our limits
         self.reload(config)
         self.open: dict[Client, None] = {}
         self.silent: dict[Client, None] = {}  # those that have not sent a byte, the oldest first
@@ -135,6 +137,8 @@
         """Count a new connection; False: it is one of the crowd, only there to be refused."""
         self.open[client] = None
         self.accepted_at = time.monotonic()
+        if self.before_accept:
+            self.before_accept()
         if len(self.open) <= self.most:
             return True
         # guards usual clients: a crowd that says nothing goes before anyone who has ever asked, so that its
--- a/dykemux/operators.py
+++ b/dykemux/operators.py
@@ -55,9 +55,17 @@
             holds, emptying = self.shared.look()
             self.proxy.settle_holds(holds)
             self.clients.empty(emptying)
-            if (taken := self.shared.taken(self.clients.config.sockets)) != self.taken:
-                self.taken = taken
-                self.clients.make_room(taken)
+            self._share()
+
+    def _share(self) -> None:
+        """Keep to what the other process leaves, and take no more from clients than has to be.
+
+        While there is another, each accept asks anew: a crowd that comes to both grows faster than we look.
+        """
+        if self.shared is not None and (taken := self.shared.taken()) != self.taken:
+            self.taken = taken
+            self.clients.make_room(taken)
+            self.clients.before_accept = self._share if taken else None
 
     def carry_out(self, order: str, name: str) -> bool:
         """Whether it is done, and known to whoever shares the folder.  Raises OSError if it can't be kept."""
--- a/dykemux/shared.py
+++ b/dykemux/shared.py
@@ -16,6 +16,7 @@
 from pathlib import Path
 
 LOOK_S = 0.1  # between two looks at what the other process was told
+TAKEN_SPARE = 6  # descriptors that another process may open while we look
 MOST = 4096  # backends that may be held at once, which bounds the folder
 
 
@@ -77,17 +78,13 @@
                         (self.folder / file).unlink()
         return found
 
-    def taken(self, most: int) -> int:
-        """Descriptors, of so many for all processes of the proxy, that are not for this one to use.
-
-        Half of them while there is another process, so that two that grow between two looks stay within; what
-        either holds beyond its half when the other comes is its own until it lets go of it.
-        """
+    def taken(self) -> int:
+        """Descriptors that are not for this process to use, since the proxy's other processes hold them."""
         held = 0
         for process in self.others():
             with suppress(OSError):  # it has just ended, or is not ours to look into
-                held += len(os.listdir(f"/proc/{process}/fd"))
-        return max(held, most - max(most // 2, len(os.listdir("/proc/self/fd")))) if held else 0
+                held += len(os.listdir(f"/proc/{process}/fd")) + TAKEN_SPARE
+        return held
 
     def look(self) -> tuple[dict[str, Hold], bool]:
         """The holds and releases by name, and whether the proxy is emptied."""
