--- a/dykemux/clients.py
+++ b/dykemux/clients.py
@@ -87,6 +87,15 @@
     return host.strip(b"[]")
 
 
+def bound_to(address: tuple[str, int]) -> socket.socket:
+    """A socket to listen on there.  Raises OSError where the address can't be bound."""
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)  # no waiting for TIME_WAIT
+    listener.bind(address)
+    return listener
+
+
 class Clients:
     """The listener and the books of all client connections."""
 
@@ -119,13 +128,8 @@
 
     async def listen(self, address: tuple[str, int], inherited: int | None = None) -> tuple[str, int]:
         """Listen on an address, or on a socket that whoever started us holds for all of our kind."""
-        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        if inherited is None:
-            listener = socket.socket(family, socket.SOCK_STREAM)
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)  # no waiting for TIME_WAIT
-            listener.bind(address)
-        else:
-            listener = socket.socket(fileno=inherited)  # raises OSError if it is no socket
+        # raises OSError if it is no socket
+        listener = bound_to(address) if inherited is None else socket.socket(fileno=inherited)
         server = await self.loop.create_server(lambda: Client(self), sock=listener, backlog=BACKLOG)
         if not self.servers:
             self.loop.call_later(SWEEP_S, self._sweep)
--- a/dykemux/operators.py
+++ b/dykemux/operators.py
@@ -9,14 +9,13 @@
 
 import asyncio
 import logging
-import socket
 import time
 from collections.abc import Callable
 from typing import cast
 
 import httptools
 
-from dykemux.clients import Clients
+from dykemux.clients import Clients, bound_to
 from dykemux.http1 import DATE, Unreadable, answer_head
 from dykemux.proxy import Proxy
 from dykemux.shared import LOOK_S, MOST, Hold, Shared
@@ -45,8 +44,11 @@
 
     def _watch(self) -> None:
         self.loop.call_later(LOOK_S, self._watch)
+        self._safely(self.look)
+
+    def _safely(self, look: Callable[[], None]) -> None:
         try:
-            self.look()
+            look()
         except OSError as error:  # what was known stays in force
             log.error("shared folder: %s", error)
 
@@ -65,7 +67,7 @@
         if self.shared is not None and (taken := self.shared.taken()) != self.taken:
             self.taken = taken
             self.clients.make_room(taken)
-            self.clients.before_accept = self._share if taken else None
+            self.clients.before_accept = (lambda: self._safely(self._share)) if taken else None
 
     def carry_out(self, order: str, name: str) -> bool:
         """Whether it is done, and known to whoever shares the folder.  Raises OSError if it can't be kept."""
@@ -110,19 +112,11 @@
 
     async def listen(self, address: tuple[str, int]) -> tuple[str, int]:
         """Raises OSError where the address can't be bound."""
-        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        listener = socket.socket(family, socket.SOCK_STREAM)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind(address)
+        listener = bound_to(address)
         self.server = await self.loop.create_server(lambda: Caller(self), sock=listener, backlog=BACKLOG)
         bound = listener.getsockname()
         return bound[0], bound[1]
 
-    def close(self) -> None:
-        self.server.close()
-        for caller in list(self.callers):
-            caller.transport.abort()
-
     def answer(self, method: str, path: str, body: str) -> int:
         """The status of one call."""
         if path == "/admin/health":
--- a/flintplank/maintenance.py
+++ b/flintplank/maintenance.py
@@ -11,8 +11,6 @@
 
 from flintplank.interface import BackendInfo
 
-ALWAYS = float("inf")
-
 
 class Maintenance:
     """Holds and releases by backend.  A hold lasts until its release, any other entry as long as its line."""
@@ -45,9 +43,9 @@
         if line.backend in self.held:
             self.lines[line.backend] = line
             return None
-        since, at = self.released.get(line.backend, (ALWAYS, 0.0))
+        since, at = self.released.get(line.backend, (-1.0, 0.0))
         # guards rule 4: the list may not have heard of the restart yet
-        return replace(line, started_ms=at) if since != ALWAYS and line.started_ms <= since else line
+        return replace(line, started_ms=at) if line.started_ms <= since else line
 
     def gone(self, backend: int) -> None:
         """The list has it no more.  A hold stays in force, for its name may come back."""
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -145,8 +145,20 @@
 class Node:
     """The real program in a process of its own."""
 
-    def __init__(self, path: Path, process: asyncio.subprocess.Process, host: str, port: int) -> None:
-        self.path, self.process, self.host, self.port = path, process, host, port
+    def __init__(self, path: Path, process: asyncio.subprocess.Process, port: int, calls: int) -> None:
+        self.path, self.process, self.host, self.port, self.calls = path, process, "127.0.0.1", port, calls
+
+    async def call(self, path: str, body: str = "", method: str = "POST") -> str:
+        """An operator's call, where the node has an address for them."""
+        reader, writer = await asyncio.open_connection(self.host, self.calls)
+        head = f"{method} {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n{body}"
+        writer.write(head.encode())
+        status, _ = await answer_of(reader)
+        writer.close()
+        return status
+
+    async def health(self) -> str:
+        return await self.call("/admin/health", method="GET")
 
     def signal(self, number: int) -> None:
         self.process.send_signal(number)
@@ -171,21 +183,34 @@
         return answer
 
 
-@asynccontextmanager
-async def node(path: Path, config: dict[str, Any]) -> AsyncIterator[Node]:
-    file = path / "config.json"
-    file.write_text(json.dumps(config))
-    with socket.socket() as probe:  # a port that is free now; the proxy binds it with SO_REUSEADDR
+def a_port() -> int:
+    """One that is free now; the proxy binds it with SO_REUSEADDR."""
+    with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
-        port = probe.getsockname()[1]
+        return int(probe.getsockname()[1])
+
+
+@asynccontextmanager
+async def node(
+    path: Path, config: dict[str, Any], called: bool = False, shared: socket.socket | None = None
+) -> AsyncIterator[Node]:
+    """`called`: with an address for operators; `shared`: a listening socket to inherit, as there."""
+    calls = a_port() if called else 0
+    file = path / f"config{calls or ''}.json"
+    file.write_text(json.dumps(config | ({"mgmt": f"127.0.0.1:{calls}"} if called else {})))
+    port = shared.getsockname()[1] if shared else a_port()
     told = {
         "LB_NAME": "n0", "LB_LISTEN": f"127.0.0.1:{port}", "LB_CONFIG": str(file),
-        "LB_DISCOVERY": config["discovery"],
+        "LB_DISCOVERY": config["discovery"], "TMPDIR": str(path),
     }  # fmt: skip
+    passed = (shared.fileno(),) if shared else ()
+    if shared:
+        told["LB_ACCEPT_FD"] = str(shared.fileno())
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "dykemux", cwd=ROOT, env={**os.environ, **told}, stderr=asyncio.subprocess.PIPE
-    )
-    made = Node(file, process, "127.0.0.1", port)
+        sys.executable, "-m", "dykemux", cwd=ROOT, env={**os.environ, **told}, pass_fds=passed,
+        stderr=asyncio.subprocess.PIPE,
+    )  # fmt: skip
+    made = Node(file, process, port, calls)
     try:
         await made.log_line("listening")
         yield made
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -4,14 +4,12 @@
 
 import asyncio
 import json
-import os
 import signal
 import socket
-import sys
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
-from typing import Any, ClassVar
+from typing import ClassVar
 
 import pytest
 
@@ -20,76 +18,24 @@
 from dykemux.shared import Hold, Shared
 from flintplank import interface as api
 from tests.loopback import (
-    ROOT,
     Backend,
     Discovery,
     Node,
     answer_of,
     configuration,
     entry,
+    node,
     request,
     run,
 )
 
 
-class Called(Node):
-    """A node with a second address."""
-
-    calls = 0
-
-    async def call(self, path: str, body: str = "", method: str = "POST") -> str:
-        reader, writer = await asyncio.open_connection("127.0.0.1", self.calls)
-        head = f"{method} {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n{body}"
-        writer.write(head.encode())
-        status, _ = await answer_of(reader)
-        writer.close()
-        return status
-
-    async def health(self) -> str:
-        return await self.call("/admin/health", method="GET")
-
-
-def a_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
-@asynccontextmanager
-async def started(
-    folder: Path, config: dict[str, Any], shared: socket.socket | None = None
-) -> AsyncIterator[Called]:
-    """`shared`: a listening socket that the process inherits, as on the platform."""
-    calls = a_port()
-    file = folder / f"config-{calls}.json"
-    file.write_text(json.dumps(config | {"mgmt": f"127.0.0.1:{calls}"}))
-    port = shared.getsockname()[1] if shared else a_port()
-    told = {"LB_NAME": "n0", "LB_LISTEN": f"127.0.0.1:{port}", "LB_CONFIG": str(file), "TMPDIR": str(folder)}
-    passed: tuple[int, ...] = ()
-    if shared:
-        passed = (shared.fileno(),)
-        told["LB_ACCEPT_FD"] = str(shared.fileno())
-    process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "dykemux", cwd=ROOT, env={**os.environ, **told}, pass_fds=passed,
-        stderr=asyncio.subprocess.PIPE,
-    )  # fmt: skip
-    made = Called(file, process, "127.0.0.1", port)
-    made.calls = calls
-    try:
-        await made.log_line("listening")
-        yield made
-    finally:
-        if process.returncode is None:
-            process.kill()
-        await process.wait()
-
-
 @asynccontextmanager
-async def two_behind(path: Path) -> AsyncIterator[tuple[Called, Backend, Backend, Discovery]]:
+async def two_behind(path: Path) -> AsyncIterator[tuple[Node, Backend, Backend, Discovery]]:
     async with Backend() as one, Backend() as two:
         known = [entry("b1", one.address), entry("b2", two.address)]
         async with Discovery(*known) as discovery:
-            async with started(path, configuration(discovery.address, *known)) as proxy:
+            async with node(path, configuration(discovery.address, *known), called=True) as proxy:
                 await discovery.watched.wait()
                 yield proxy, one, two, discovery
 
@@ -214,7 +160,7 @@
                     shared.bind(("127.0.0.1", 0))
                     shared.listen(64)
                     config = configuration(discovery.address, *known)
-                    async with started(tmp_path, config, shared) as old:
+                    async with node(tmp_path, config, True, shared) as old:
                         await discovery.watched.wait()
                         assert await old.call("/admin/cordon", "b1") == "200"
                         done = asyncio.Event()
@@ -236,7 +182,7 @@
                             writer.close()
 
                         riders = [asyncio.create_task(rider(n)) for n in range(6)]
-                        async with started(tmp_path, config, shared) as new:
+                        async with node(tmp_path, config, True, shared) as new:
                             while await new.health() != "200":
                                 await asyncio.sleep(0.01)
                             assert await new.call("/admin/cordon", "b2") == "200"  # while both serve
@@ -266,7 +212,7 @@
         async with Backend(lambda head, body: None) as mute:
             known = [entry("b1", mute.address)]
             async with Discovery(*known) as discovery:
-                async with started(tmp_path, configuration(discovery.address, *known)) as proxy:
+                async with node(tmp_path, configuration(discovery.address, *known), True) as proxy:
                     asked = asyncio.create_task(proxy.ask("slow"))
                     await mute.asked.wait()
                     proxy.signal(signal.SIGTERM)
@@ -306,8 +252,8 @@
                     shared.listen(512)
                     config = configuration(discovery.address, *known, sockets=160)
                     async with (
-                        started(tmp_path, config, shared) as old,
-                        started(tmp_path, config, shared) as new,
+                        node(tmp_path, config, True, shared) as old,
+                        node(tmp_path, config, True, shared) as new,
                     ):
                         while await new.health() != "200":
                             await asyncio.sleep(0.01)
