--- /dev/null
+++ b/bench/decision_cost.py
@@ -0,0 +1,77 @@
+"""What a request's decisions cost as the fleet grows, as ratios of processor time within one run.
+
+    .venv-cli/bin/python bench/decision_cost.py [--requests 4000] [--proxies 40]
+
+Plays one proxy's module in process on 30, 60 and 150 backends in turns: arrivals 40 ms apart, each served at
+once or, one in five, turned away first, its timers in between.  The lowest of several turns counts.
+"""
+
+from __future__ import annotations
+
+import argparse
+import random
+import sys
+import time
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).parent.parent))
+
+from flintplank import interface as api
+from flintplank.choice import Balancer
+
+SIZES = (30, 60, 150)
+TURNS = 5
+
+
+def settings(proxies: int) -> api.Settings:
+    klass = api.RequestClass("save", 340.0, 1700.0, 1.0, 0.5, api.Effect.KEYED, api.DedupScope.CELL, 5000.0)
+    return api.Settings(
+        (klass,), zone="z0", zones=("z0", "z1"), proxies=proxies, slot=0, max_attempts=4, warm_keys=True,
+        cold_from=0.13, cold_ms=23_000.0, fall_ms=2000.0, price_cross_zone=0.03,
+    )  # fmt: skip
+
+
+def play(backends: int, proxies: int, requests: int) -> float:
+    """Processor microseconds a request."""
+    draw = random.Random(backends)
+    balancer, now, due = Balancer(settings(proxies), seed=1), 0.0, []
+    lines = [
+        api.BackendInfo(draw.getrandbits(53), zone=f"z{n % 2}", kind="abc"[n % 3], cell=n // 5)
+        for n in range(backends)
+    ]
+    balancer.handle(now, api.BackendList(api.ListKind.CACHED, lines))
+    due.append((200.0, 0))
+    began = time.process_time()
+    for ident in range(requests):
+        now += 40.0
+        while due and due[0][0] <= now:
+            at, token = due.pop(0)
+            for action in balancer.handle(at, api.TimerFired(token)):
+                if isinstance(action, api.SetTimer):
+                    due.append((at + action.delay_ms, action.token))
+        key = int(1000 * draw.random() ** 3)
+        actions = balancer.handle(now, api.Arrival(ident, "save", 1700.0, key=key, hint_ms=75.0))
+        number = 0
+        while actions and isinstance(actions[0], api.StartAttempt):
+            full = number == 0 and ident % 5 == 0
+            outcome = api.Outcome.REJECTED if full else api.Outcome.SERVED
+            ended = api.AttemptEnded(ident, number, actions[0].backend, outcome, 80.0, not full)
+            actions, number = balancer.handle(now, ended), number + 1
+    return (time.process_time() - began) * 1e6 / requests
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=(__doc__ or "").partition("\n")[0])
+    parser.add_argument("--requests", type=int, default=4000)
+    parser.add_argument("--proxies", type=int, default=40)
+    told = parser.parse_args()
+    least = {size: float("inf") for size in SIZES}
+    for _ in range(TURNS):
+        for size in SIZES:
+            least[size] = min(least[size], play(size, told.proxies, told.requests))
+    for size in SIZES:
+        print(f"{size:4d} backends  {least[size] / least[SIZES[0]]:.2f} of {SIZES[0]} backends' cost")
+
+
+if __name__ == "__main__":
+    main()
--- a/dykemux/backends.py
+++ b/dykemux/backends.py
@@ -25,9 +25,10 @@
 LEAST_SHARE = 0.45  # of the backends' descriptors that clients may never have
 LEND_SPARE = 8  # descriptors beyond those in use that clients may not have either
 IDLE_SHARE = 0.6  # of the time after which a backend closes an idle connection; ours must close first
-# where that is long: a backend's table of connections is shared by all proxies and a full one takes of its
-# capacity, so one not used again within this costs all of them more than a handshake costs us
-IDLE_MOST_S = 1.0
+# where that is long: a backend's table of connections is shared by all proxies, and a full one takes of its
+# capacity, so one not used again within this costs all of them more than a handshake costs us: in seconds,
+# and in seconds for each point that a handshake for every request costs
+IDLE_MOST_S, IDLE_BY_PRICE_S = 1.0, 12.5
 SETTLE_S = 0.005  # a connection rests so long after an answer, so that what comes right behind it is seen
 SILENCE_S = 0.3  # a backend silent for so long in the middle of an answer won't finish it
 STREAM_SILENCE_S = 2.5  # the same once the client has a part of it: then nothing better can come of a cut
@@ -119,7 +120,8 @@
         self.most = config.backend_sockets
         self.grace = config.drain_grace_ms / 1000.0
         self.connect_s = config.settings.connect_timeout_ms / 1000.0
-        self.idle_s = min(config.conn_idle_ms / 1000.0 * IDLE_SHARE, IDLE_MOST_S)
+        worth_s = max(IDLE_MOST_S, IDLE_BY_PRICE_S * config.settings.price_handshake)
+        self.idle_s = min(config.conn_idle_ms / 1000.0 * IDLE_SHARE, worth_s)
         self.any_status = config.any_status
 
     def open(self) -> int:
--- /dev/null
+++ b/flintplank/asking.py
@@ -0,0 +1,53 @@
+"""When to ask for the list of backends, and when to ask again.  Part of the decisions.
+
+The list service is one for all proxies and works through calls in turn.  After a release many calls come
+together, and each that fails comes again: the sum of them must fall until the service has caught up, also
+where it does answer and breaks off at once, or sends what can't be read.
+"""
+
+from __future__ import annotations
+
+import random
+
+FIRST_SHARE = 1.0 / 8.0  # of the time within which a proxy must ask: the first calls spread over it (ours)
+FIRST_MS = 1000.0  # the wait after a first failure; doubled with each further one (ours)
+MOST_SHARE = 1.0 / 3.0  # of the time within which a proxy must ask: the longest wait (ours)
+DOUBLINGS = 16  # beyond these the longest wait holds in any case, and a float would overflow
+
+
+class Asking:
+    """One proxy's watch.  One timer for any number of failures, or their calls would add up."""
+
+    __slots__ = ("asked_at", "due", "failures", "within_ms")
+
+    def __init__(self, within_ms: float) -> None:
+        self.within_ms = within_ms
+        self.failures = 0
+        self.due = False  # a timer is set
+        self.asked_at = 0.0
+
+    def begin(self, draw: random.Random) -> float:
+        """How long to wait before the first call, ms."""
+        self.due = True
+        return self.within_ms * FIRST_SHARE * draw.random()
+
+    def asks(self, now: float) -> None:
+        """The timer has fired, and the call goes out."""
+        self.due, self.asked_at = False, now
+
+    def failed(self, draw: random.Random) -> float | None:
+        """How long to wait before the next call, ms; None if one is due already."""
+        if self.due:
+            return None
+        self.due = True
+        wait = min(FIRST_MS * 2.0 ** min(self.failures, DOUBLINGS), self.most())
+        self.failures += 1
+        return wait * draw.uniform(0.5, 1.0)
+
+    def told(self, now: float) -> None:
+        """News came.  Only a watch that lasts ends the back-off: one that breaks off at once is no better."""
+        if now - self.asked_at >= self.most():
+            self.failures = 0
+
+    def most(self) -> float:
+        return self.within_ms * MOST_SHARE
--- a/flintplank/choice.py
+++ b/flintplank/choice.py
@@ -10,6 +10,7 @@
 from heapq import heappop, heappush, nlargest
 
 from flintplank import interface as api
+from flintplank.asking import Asking
 from flintplank.maintenance import Maintenance
 from flintplank.overload import TurnedAway
 from flintplank.speed import Speed, Speeds
@@ -183,7 +184,7 @@
         self.arrived = self.refused = 0  # since the last update
         self.short_since = -1.0  # none: before 0
         self.started, self.updated_at = False, 0.0
-        self.watch_failures, self.watch_due = 0, False
+        self.asking = Asking(settings.ask_within_ms)
         self.actions: list[api.Action] = []
 
     def _settle(self, settings: api.Settings) -> None:
@@ -200,7 +201,7 @@
         elif isinstance(event, api.AttemptEnded):
             self._attempt_ended(now_ms, event)
         elif isinstance(event, api.TimerFired) and event.token == WATCH:
-            self.watch_due = False
+            self.asking.asks(now_ms)
             self.actions.append(api.WatchList())
         elif isinstance(event, api.TimerFired) and event.token != UPDATE:
             self._resume(now_ms, *self.timers.pop(event.token))
@@ -591,18 +592,13 @@
             self.started, self.updated_at = True, now
             self.actions.append(api.SetTimer(UPDATE, PERIOD_MS * self.random.uniform(0.1, 1.0)))
             if self.settings.watch_list:
-                wait = self.settings.ask_within_ms * self.random.random() / 8.0
-                self.watch_due = True
-                self.actions.append(api.SetTimer(WATCH, wait))
+                self.actions.append(api.SetTimer(WATCH, self.asking.begin(self.random)))
         if news.kind is api.ListKind.FAILED:
-            # an own jitter keeps many proxies from asking a small list service together
-            if self.watch_due:  # one timer for any number of failures, or their calls would add up
-                return
-            self.watch_failures, self.watch_due = self.watch_failures + 1, True
-            wait = min(500.0 * 2.0**self.watch_failures, self.settings.ask_within_ms / 3.0)
-            self.actions.append(api.SetTimer(WATCH, wait * self.random.uniform(0.5, 1.0)))
+            wait = self.asking.failed(self.random)
+            if wait is not None:
+                self.actions.append(api.SetTimer(WATCH, wait))
             return
-        self.watch_failures = 0
+        self.asking.told(now)
         up = [info for info in news.backends if info.state is api.State.UP]
         listed = {info.backend for info in up}
         gone = [info.backend for info in news.backends if info.state is not api.State.UP]
