Of near equals the backend that served lately takes the turn; the board in a module of its own

Cause of what is gained: where keys have no home, _top takes the longest without a turn among equals, so its connection has just been closed. Now of up to three within one mean cost one that served within a second is taken. Guards seen to fail: the preference, its bound, its time; homes that depend on the list's length; a table that keeps what is gone.

--- a/flintplank/choice.py
+++ b/flintplank/choice.py
@@ -11,14 +11,13 @@
 
 from flintplank import interface as api
 from flintplank.asking import Asking
+from flintplank.board import Board
 from flintplank.maintenance import Maintenance
 from flintplank.overload import TurnedAway
 from flintplank.speed import Speed, Speeds
 from flintplank.subset import Subset
 
 PERIOD_MS = 200.0  # between two updates of the weights (paper)
-SLOT_MS = 200.0  # one slot holds this much work (ours: one slot a period keeps booking cheap)
-SLOTS = 64  # of a board, so its horizon is 12.8 s (paper: 10 s)
 BASE_MS = 10.0  # fixed part of a request's cost: connection, parsing, logging (ours)
 RETRY_SHARE, RETRY_BURST = 0.2, 10.0  # retries after attempts that may have run, per first try (ours)
 BOOKED_SHARE = 0.9  # of the fleet's time that the boards of one proxy hold on average (ours)
@@ -43,48 +42,12 @@
 RATE_MS = 3000.0  # smoothing of our own work rate, for slow start (ours)
 SHORT_SHARE = 0.1  # of a period's arrivals that are refused where the fleet is short (ours)
 ADVICE_LEAST = 0.25  # of the aim: the least advice to refused clients, so that a retry may be in time (ours)
+OPEN_MS = 1000.0  # a connection that served lately is taken to be open for so long (ours)
+OPEN_WORTH, OPEN_LOOK = 1.0, 3  # mean costs more booked that it may be, and how many are looked at (ours)
 REST = 2  # place of the heap of backends that this proxy does not keep to
 UPDATE, WATCH = 0, 1  # timer tokens; those of pauses and second copies count on from there
 
 
-@dataclass(slots=True)
-class Board:
-    """DESIGN 1 and 2: the queue Q_k, circular slots and cursor TC_k of one backend.  Times in ms."""
-
-    cursor: float
-    queue: list[tuple[float, float]] = field(default_factory=list)
-    slots: list[float] = field(default_factory=lambda: [0.0] * SLOTS)
-    head: int = 0  # slot that holds the present, counted from time 0
-    total: float = 0.0
-
-    def update(self, now: float) -> None:
-        """Clear the slots gone by, then book the queue."""
-        head = int(now // SLOT_MS)
-        for slot in range(self.head, min(head, self.head + SLOTS)):
-            self.slots[slot % SLOTS] = 0.0
-        self.head = max(head, self.head)
-        for stamp, cost in self.queue:
-            self.cursor = max(self.cursor, stamp)
-            self._book(cost)
-        self.queue.clear()
-        self.total = sum(self.slots)
-
-    def _book(self, cost: float) -> None:
-        last = self.head + SLOTS - 1
-        slot = int(self.cursor // SLOT_MS)
-        left = cost
-        self.cursor = min(self.cursor + cost, (last + 1) * SLOT_MS)
-        if slot < self.head:  # what would have been worked off before the present is not booked
-            left = max(0.0, min(cost, self.cursor - self.head * SLOT_MS))
-            slot = self.head
-        while left > 0.0 and slot < last:
-            taken = min(left, max(0.0, SLOT_MS - self.slots[slot % SLOTS]))
-            self.slots[slot % SLOTS] += taken
-            left -= taken
-            slot += 1
-        self.slots[last % SLOTS] += left  # beyond the horizon
-
-
 @dataclass(slots=True, eq=False)
 class Backend:
     """What this proxy knows of one listed backend."""
@@ -94,6 +57,7 @@
     turn: float  # equal weights take turns by this
     credit: float  # slow start: ms of work it may be sent; 0 or less: none
     rank: int  # of this proxy among all for it
+    heap: int = 2  # where its turns are queued: far or near of our subset, or the rest
     factor: float = 1.0  # learned: served time over booked cost, its own and its kind's
     speed: Speed = field(default_factory=Speed)
     weight: float = 0.0  # W_k below the top weight
@@ -101,6 +65,7 @@
     held: float = 0.0  # of the attempts still out, in mean costs
     strikes: float = 0.0  # failures not yet made up for
     rests_until: float = 0.0  # it takes no turns before
+    served_at: float = -1e12  # when it last did
 
 
 def group_of(info: api.BackendInfo, scope: api.DedupScope) -> object:
@@ -277,16 +242,15 @@
 
     def _queue_turn(self, backend: Backend) -> None:
         entry = (-backend.weight, backend.turn, backend.info.backend)
-        heappush(self.turns[self._is_near(backend.info) if self._keeps(backend) else REST], entry)
+        heappush(self.turns[backend.heap], entry)
 
     def _queue_turns(self) -> None:
         self.turns = ([], [], [])
         for backend in self.backends.values():
+            near = self._is_near(backend.info)
+            backend.heap = near if backend.rank < self.kept_by[near] else REST
             self._queue_turn(backend)
 
-    def _keeps(self, backend: Backend) -> bool:
-        return backend.rank < self.kept_by[self._is_near(backend.info)]
-
     def _is_near(self, info: api.BackendInfo) -> bool:
         return info.zone == self.settings.zone or not self.settings.price_cross_zone
 
@@ -321,9 +285,10 @@
         return top or self._top(rest, now, request.attempts)
 
     def _top(self, turns: list[tuple[float, float, int]], now: float, tried: list[Attempt]) -> Backend | None:
+        """The first of a heap that is ready and not tried; of near equals one whose connection is open."""
         aside: list[tuple[float, float, int]] = []
-        chosen = None
-        while turns and chosen is None:
+        first = chosen = None
+        while turns and chosen is None and (first is None or len(aside) < OPEN_LOOK):
             weight, turn, ident = entry = heappop(turns)
             backend = self.backends.get(ident)
             if backend is None or backend.turn != turn or -backend.weight != weight:
@@ -332,11 +297,17 @@
                 self.waiting.append(backend)
                 continue
             aside.append(entry)  # the chosen one's entry goes stale with the send
-            if not any(attempt.to is backend for attempt in tried):
+            if tried and any(attempt.to is backend for attempt in tried):
+                continue
+            if first is None:
+                first = backend
+            elif backend.weight < first.weight - OPEN_WORTH:
+                break
+            if now - backend.served_at < OPEN_MS:
                 chosen = backend
         for entry in aside:
             heappush(turns, entry)
-        return chosen
+        return chosen or first
 
     # The request's life: rules 1 and 2.
 
@@ -368,6 +339,7 @@
         self._judge(now, attempt, ended)
         if ended.outcome is api.Outcome.SERVED:
             self.served.now += attempt.cost
+            attempt.to.served_at = now
             to, ratio = attempt.to, max(1.0, ended.latency_ms) / attempt.cost * attempt.ramp
             self.speeds.learn(to.info.kind, to.speed, ratio, attempt.ramp >= 1.0)
             to.factor = self.speeds.factor(to.info.kind, to.speed)
@@ -653,19 +625,20 @@
 
         Work sent would not do: in an overload each refused try counts there once more.
         """
-        ramps = [(b, self._ramp(b, now)) for b in self.backends.values()]
-        cold = [(b, ramp) for b, ramp in ramps if ramp < 1.0]
+        started = [(b, self._ramp(b, now)) for b in self.backends.values() if b.info.started_ms]
+        cold = [(b, ramp) for b, ramp in started if ramp < 1.0]
         if not cold:
             return
+        ramps = [(b, self._ramp(b, now)) for b in self.backends.values()]
         strength = sum(ramp / b.factor for b, ramp in ramps)
         # where most are cold, nobody knows what a warm one takes: count on half the fleet
         strength = max(strength, 0.5 * sum(1.0 / b.factor for b, _ in ramps))
         share = COLD_SHARE * self.served.mean * periods / strength
         for backend, ramp in cold:
-            if not self._keeps(backend):
+            if backend.heap == REST:
                 continue
             # as fast as its kind, or slower: what makes a single one look faster may be chance
             earned = share * ramp / max(backend.factor, self.speeds.of_kind(backend.info.kind))
             # also for the proxies that do not keep to it
-            earned *= self.settings.proxies / self.kept_by[self._is_near(backend.info)]
+            earned *= self.settings.proxies / self.kept_by[backend.heap]
             backend.credit = min(backend.credit + earned, earned * self.settings.fall_ms / PERIOD_MS)
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,82 @@
+"""What a growing and changing list does to one proxy's tables and to keys' homes."""
+
+import random
+from typing import Any
+
+import pytest
+
+from flintplank.interface import BackendInfo, Effect, ListKind, Outcome, RequestClass, Settings, State
+from tests.host import Host
+
+
+def settings() -> Settings:
+    klass = RequestClass("read", 400.0, 2000.0, effect=Effect.IDEMPOTENT)
+    return Settings(
+        (klass,), proxies=40, slot=7, max_attempts=4, warm_keys=True, cold_from=0.2, cold_ms=5_000.0,
+        fall_ms=2000.0,
+    )  # fmt: skip
+
+
+def line(number: int, started: float = 0.0, state: State = State.UP) -> BackendInfo:
+    return BackendInfo(7919 * number + 1, state, kind="abc"[number % 3], cell=number // 5, started_ms=started)
+
+
+def sizes(balancer: Any) -> dict[str, int]:
+    """Of everything a balancer keeps that has a length, two levels deep."""
+    found: dict[str, int] = {}
+    for name, value in vars(balancer).items():
+        if hasattr(value, "__len__"):
+            found[name] = sum(map(len, value)) if isinstance(value, tuple) else len(value)
+        for inner, more in getattr(value, "__dict__", {}).items():
+            if hasattr(more, "__len__"):
+                found[f"{name}.{inner}"] = len(more)
+    return found
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_ten_thousand_backends_come_and_go_and_no_table_grows(seed: int) -> None:
+    draw, host, up = random.Random(seed), Host(settings(), seed), list(range(30))
+    host.listed(ListKind.CACHED, *map(line, up))
+    early: dict[str, int] = {}
+    for number in range(30, 10_030):
+        gone = up.pop(draw.randrange(len(up)))
+        up.append(number)
+        left = line(gone, state=draw.choice((State.GONE, State.DRAINING)))
+        host.listed(ListKind.CHANGES, line(number, host.now), left)
+        host.run_to(host.now + 20.0)
+        ident = host.arrive(key=draw.randrange(50))
+        if host.owed[ident].attempts:
+            outcome = draw.choice((Outcome.SERVED, Outcome.SERVED, Outcome.TIMEOUT))
+            host.end(ident, 0, outcome, 30.0)
+            if outcome is Outcome.TIMEOUT and not host.owed[ident].over:
+                host.leave(ident)
+                for which, attempt in host.out():
+                    host.end(which, attempt, Outcome.CANCELLED, 1.0)
+        host.log.clear()
+        if number == 1_030:
+            early = sizes(host.balancer)
+    late = sizes(host.balancer)
+    assert len(host.balancer.backends) == 30
+    grown = {name: (early[name], size) for name, size in late.items() if size > early.get(name, 0) + 150}
+    assert not grown, (grown, "seed", seed)
+
+
+def test_a_change_of_the_list_moves_the_homes_of_the_affected_keys_alone() -> None:
+    host = Host(settings())
+    host.listed(ListKind.CACHED, *map(line, range(40)))
+
+    def homes() -> dict[int, list[int]]:
+        for key in range(200):
+            host.end(host.arrive(key=key), 0, Outcome.SERVED, 30.0)
+            host.run_to(host.now + 50.0)
+        return {key: list(host.balancer.homes[key]) for key in range(200)}
+
+    before = homes()
+    host.listed(ListKind.CHANGES, line(3, state=State.GONE), line(40))
+    after, left, came = homes(), line(3).backend, line(40).backend
+    moved = [key for key in before if before[key] != after[key]]
+    assert moved and all(left in before[key] or came in after[key] for key in moved)
+    for key in moved:  # and of these only the place that had to change
+        old, new = before[key], after[key]
+        assert [home for home in old if home in new] == [home for home in new if home in old]
+    assert len(moved) < 60
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -125,3 +125,36 @@
     assert highest == 0.0
     assert abs(lowest + tdiff) < 1e-9
     assert tdiff * 0.4 < -middle < tdiff * 0.6
+
+
+def test_of_near_equals_the_one_that_served_lately_takes_the_turn() -> None:
+    """Its connection is open; one more to another backend would stand in a table that all proxies share."""
+    host = Host(Settings((RequestClass("read", effect=Effect.IDEMPOTENT),), max_attempts=3))
+    host.listed(ListKind.CACHED, *fleet(6))
+    host.run_to(host.now + 500.0)
+    used = []
+    for _ in range(6):
+        ident = host.arrive()
+        used.append(host.owed[ident].attempts[0].backend)
+        host.run_to(host.now + 20.0)
+        host.end(ident, 0, Outcome.SERVED, 20.0)
+        host.run_to(host.now + 400.0)  # the board is worked off
+    assert len(set(used)) < 6  # without, they would take turns
+    host.run_to(host.now + 5000.0)
+    last = used[-1]
+    ident = host.arrive()
+    host.end(ident, 0, Outcome.REJECTED, 1.0)
+    first, second = host.owed[ident].attempts
+    assert first.backend != last and second.backend != first.backend  # it is long ago: the turns go on
+
+
+def test_who_served_lately_is_passed_over_once_it_has_much_more_booked() -> None:
+    host = Host(Settings((RequestClass("read", effect=Effect.IDEMPOTENT),), max_attempts=3))
+    host.listed(ListKind.CACHED, *fleet(6))
+    host.run_to(host.now + 500.0)
+    used = []
+    for _ in range(12):
+        ident = host.arrive()
+        used.append(host.owed[ident].attempts[0].backend)
+        host.end(ident, 0, Outcome.SERVED, 20.0)
+    assert len(set(used)) == 6, used
