--- a/flintplank/asking.py
+++ b/flintplank/asking.py
@@ -9,10 +9,11 @@
 
 import random
 
+from flintplank.interface import pause_before
+
 FIRST_SHARE = 1.0 / 8.0  # of the time within which a proxy must ask: the first calls spread over it (ours)
 FIRST_MS = 1000.0  # the wait after a first failure; doubled with each further one (ours)
 MOST_SHARE = 1.0 / 3.0  # of the time within which a proxy must ask: the longest wait (ours)
-DOUBLINGS = 16  # beyond these the longest wait holds in any case, and a float would overflow
 
 
 class Asking:
@@ -40,8 +41,8 @@
         if self.due:
             return None
         self.due = True
-        wait = min(FIRST_MS * 2.0 ** min(self.failures, DOUBLINGS), self.most())
         self.failures += 1
+        wait = pause_before(self.failures, min(FIRST_MS, self.most()), self.most())
         return wait * draw.uniform(0.5, 1.0)
 
     def told(self, now: float) -> None:
--- a/flintplank/choice.py
+++ b/flintplank/choice.py
@@ -7,6 +7,7 @@
 
 import random
 from dataclasses import dataclass, field
+from functools import partial
 from heapq import heappop, heappush, nlargest
 
 from flintplank import interface as api
@@ -15,7 +16,7 @@
 from flintplank.maintenance import Maintenance
 from flintplank.overload import TurnedAway
 from flintplank.speed import Speed, Speeds
-from flintplank.subset import Subset
+from flintplank.subset import Subset, rendezvous
 
 PERIOD_MS = 200.0  # between two updates of the weights (paper)
 BASE_MS = 10.0  # fixed part of a request's cost: connection, parsing, logging (ours)
@@ -35,7 +36,6 @@
 SHARE_SLACK = 1.3  # our part of the quotas over what it is found to be: sites are not loaded evenly (ours)
 KEY_HOMES, KEY_SLACK = 3, 8.0  # backends that share a key; mean costs one may be booked over the rest (ours)
 HOMES_MOST = 4096  # keys whose homes are remembered (ours)
-MIX = (0x9E3779B97F4A7C15, 0xBF58476D1CE4E5B9)  # odd multipliers of the rendezvous hash (common ones)
 CROSS_FOR = 2.0  # share of the aim a wait must cost, per point of the price, to cross zones (ours)
 NEAR_TRIES = 2  # attempts in our own zone before others take turns alike (ours)
 COLD_SHARE = 2.2  # a cold backend's work, against its ramped share of what we see served (rule 4 allows more)
@@ -57,7 +57,7 @@
     turn: float  # equal weights take turns by this
     credit: float  # slow start: ms of work it may be sent; 0 or less: none
     rank: int  # of this proxy among all for it
-    heap: int = 2  # where its turns are queued: far or near of our subset, or the rest
+    heap: int = REST  # where its turns are queued: far or near of our subset, or the rest
     factor: float = 1.0  # learned: served time over booked cost, its own and its kind's
     speed: Speed = field(default_factory=Speed)
     weight: float = 0.0  # W_k below the top weight
@@ -116,12 +116,12 @@
     """One proxy.  Events of ended requests are passed over; an attempt never made is a caller's KeyError."""
 
     def __init__(self, settings: api.Settings, seed: int, books: api.Books | None = None) -> None:
+        self.asking = Asking(settings.ask_within_ms)
         self._settle(settings)
         self.books = books  # needed by requests with a policy
         self.timers: dict[int, tuple[int, bool]] = {}  # token: request, and whether for a second copy
         self.last_token = WATCH
         self.random = random.Random(seed)
-        self.subset = Subset(settings.slot, settings.proxies)
         self.kept_by = [0, 0]  # proxies that keep to each backend of far and of near zones
         self.shares: dict[str, tuple[float, float]] = {}  # by tenant: requests saved up, and when
         self.asked: dict[str, Rate] = {}  # by tenant with a quota: first tries
@@ -149,11 +149,12 @@
         self.arrived = self.refused = 0  # since the last update
         self.short_since = -1.0  # none: before 0
         self.started, self.updated_at = False, 0.0
-        self.asking = Asking(settings.ask_within_ms)
         self.actions: list[api.Action] = []
 
     def _settle(self, settings: api.Settings) -> None:
         self.settings = settings
+        self.subset = Subset(settings.slot, settings.proxies)
+        self.asking.within_ms = settings.ask_within_ms
         self.classes = {klass.name: klass for klass in settings.classes}
         self.aims = [klass.aim_ms for klass in settings.classes]
         self.most_worth = max(klass.worth for klass in settings.classes)
@@ -188,6 +189,8 @@
                 self._listed_anew()
         elif isinstance(event, api.NewSettings):
             self._settle(event.settings)
+            for ident, backend in self.backends.items():
+                backend.rank = self.subset.rank(ident)
             self._listed_anew()
         return self.actions
 
@@ -247,8 +250,6 @@
     def _queue_turns(self) -> None:
         self.turns = ([], [], [])
         for backend in self.backends.values():
-            near = self._is_near(backend.info)
-            backend.heap = near if backend.rank < self.kept_by[near] else REST
             self._queue_turn(backend)
 
     def _is_near(self, info: api.BackendInfo) -> bool:
@@ -263,7 +264,7 @@
             if len(self.homes) >= HOMES_MOST:  # keys are ever new: the one known longest is worked out again
                 del self.homes[next(iter(self.homes))]
             near = [i for i, b in self.backends.items() if self._is_near(b.info) or not self.near]
-            self.homes[key] = nlargest(KEY_HOMES, near, key=lambda i: (key ^ i * MIX[0]) * MIX[1] % 2**64)
+            self.homes[key] = nlargest(KEY_HOMES, near, key=partial(rendezvous, key))
         # hot keys must spread, and compressed weights would hide how much a hot one's home is booked
         limit = lightest.load + lightest.held + KEY_SLACK
         tried = [attempt.to for attempt in request.attempts]
@@ -603,9 +604,11 @@
 
     def _listed_anew(self) -> None:
         self.homes.clear()
-        near = sum(self._is_near(backend.info) for backend in self.backends.values())
-        self.near = near
-        self.kept_by = [self.subset.kept_by(len(self.backends) - near), self.subset.kept_by(near)]
+        zones = [(backend, self._is_near(backend.info)) for backend in self.backends.values()]
+        self.near = sum(near for _, near in zones)
+        self.kept_by = [self.subset.kept_by(len(zones) - self.near), self.subset.kept_by(self.near)]
+        for backend, near in zones:
+            backend.heap = near if backend.rank < self.kept_by[near] else REST
         self._queue_turns()
         self.speeds.keep({backend.info.kind for backend in self.backends.values()})
 
@@ -629,10 +632,9 @@
         cold = [(b, ramp) for b, ramp in started if ramp < 1.0]
         if not cold:
             return
-        ramps = [(b, self._ramp(b, now)) for b in self.backends.values()]
-        strength = sum(ramp / b.factor for b, ramp in ramps)
+        whole = sum(1.0 / b.factor for b in self.backends.values())
         # where most are cold, nobody knows what a warm one takes: count on half the fleet
-        strength = max(strength, 0.5 * sum(1.0 / b.factor for b, _ in ramps))
+        strength = max(whole - sum((1.0 - ramp) / b.factor for b, ramp in cold), 0.5 * whole)
         share = COLD_SHARE * self.served.mean * periods / strength
         for backend, ramp in cold:
             if backend.heap == REST:
@@ -640,5 +642,5 @@
             # as fast as its kind, or slower: what makes a single one look faster may be chance
             earned = share * ramp / max(backend.factor, self.speeds.of_kind(backend.info.kind))
             # also for the proxies that do not keep to it
-            earned *= self.settings.proxies / self.kept_by[backend.heap]
+            earned *= self.subset.proxies / self.kept_by[backend.heap]
             backend.credit = min(backend.credit + earned, earned * self.settings.fall_ms / PERIOD_MS)
--- a/flintplank/subset.py
+++ b/flintplank/subset.py
@@ -18,8 +18,13 @@
 WORD = 2**64
 
 
+def rendezvous(one: int, other: int) -> int:
+    """A number for a pair that all proxies draw alike."""
+    return (one ^ other * MIX[0]) * MIX[1] % WORD
+
+
 def _mixed(backend: int, slot: int) -> int:
-    mixed = (backend ^ slot * MIX[0]) * MIX[1] % WORD
+    mixed = rendezvous(backend, slot)  # mixed on, as slots are small numbers in a row
     return (mixed ^ mixed >> 29) * MIX[0] % WORD
 
 
@@ -27,17 +32,16 @@
     """One proxy's place among all for each backend.  Without a number of its own it keeps to all."""
 
     def __init__(self, slot: int | None, proxies: int) -> None:
-        self.slot, self.proxies = slot, proxies
+        self.slot = slot or 0
+        self.proxies = 1 if slot is None else proxies
 
     def rank(self, backend: int) -> int:
         """How many other proxies come before this one: 0 to proxies - 1, each value at one of them."""
-        if self.slot is None or self.proxies <= KEPT_BY:
+        if self.proxies <= KEPT_BY:
             return 0
         own = (_mixed(backend, self.slot), self.slot)
         return sum((_mixed(backend, other), other) < own for other in range(self.proxies))
 
     def kept_by(self, backends: int) -> int:
         """How many proxies keep to each of so many backends of a zone."""
-        if self.slot is None:
-            return self.proxies
         return min(self.proxies, max(KEPT_BY, -(-LEAST * self.proxies // max(1, backends))))
--- a/tests/host.py
+++ b/tests/host.py
@@ -5,7 +5,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from typing import Any
 
 from flintplank.choice import Balancer
 from flintplank.interface import (
@@ -24,6 +25,7 @@
     ListKind,
     Outcome,
     Refuse,
+    RequestClass,
     SetTimer,
     Settings,
     StartAttempt,
@@ -205,3 +207,10 @@
 
 def fleet(count: int) -> list[BackendInfo]:
     return [BackendInfo(100 + n, zone=f"z{n % 2}", cell=n // 4) for n in range(count)]
+
+
+def large(**changes: Any) -> Settings:
+    """What a proxy of a large fleet is told, and what a test changes of it."""
+    klass = RequestClass("read", 400.0, 2000.0, effect=Effect.IDEMPOTENT)
+    base = Settings((klass,), max_attempts=4, cold_from=0.2, cold_ms=20_000.0, fall_ms=2000.0)
+    return replace(base, **changes)
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -221,12 +221,15 @@
 
 
 @asynccontextmanager
-async def one_behind(path: Path, backend: Listener) -> AsyncIterator[Node]:
-    """A proxy with discovery and that one backend."""
+async def one_behind(
+    path: Path, backend: Listener, called: bool = False, **limits: float
+) -> AsyncIterator[Node]:
+    """A proxy with discovery and that one backend; `called` as for `node`."""
     async with backend:
         known = [entry("b1", backend.address)]
         async with Discovery(*known) as discovery:
-            async with node(path, configuration(discovery.address, *known)) as proxy:
+            config = configuration(discovery.address, *known, **limits)
+            async with node(path, config, called) as proxy:
                 yield proxy
 
 
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -148,16 +148,14 @@
     """96 descriptors leave clients 30 of their own; 40 with half a head must not keep the next one out."""
 
     async def talk() -> None:
-        async with Backend() as backend:
-            known = [entry("b1", backend.address)]
-            async with Discovery(*known) as discovery:
-                async with node(tmp_path, configuration(discovery.address, *known, sockets=96)) as proxy:
-                    slow = [await proxy.connect() for _ in range(40)]
-                    for _, writer in slow:
-                        writer.write(HEAD)
-                    assert await proxy.ask("a1") == ("200", b"a1")
-                    assert proxy.descriptors() <= 96
-                    for _, writer in slow:
-                        writer.close()
+        backend = Backend()
+        async with one_behind(tmp_path, backend, sockets=96) as proxy:
+            slow = [await proxy.connect() for _ in range(40)]
+            for _, writer in slow:
+                writer.write(HEAD)
+            assert await proxy.ask("a1") == ("200", b"a1")
+            assert proxy.descriptors() <= 96
+            for _, writer in slow:
+                writer.close()
 
     run(talk())
--- a/tests/test_books.py
+++ b/tests/test_books.py
@@ -10,7 +10,7 @@
 from dykemux.config import Config, load
 from dykemux.proxy import Ask, Asker, Proxy
 from flintplank import interface as api
-from tests.loopback import Backend, Discovery, answer_of, configuration, entry, node, request, run
+from tests.loopback import Backend, answer_of, configuration, entry, one_behind, request, run
 
 
 def config_of(path: Path, *known: dict[str, Any]) -> Config:
@@ -91,18 +91,15 @@
 
 def test_it_starts_and_drains_in_32_mb(tmp_path: Path) -> None:
     async def talk() -> None:
-        async with Backend(lambda head, body: None) as backend:
-            known = [entry("b1", backend.address)]
-            async with Discovery(*known) as discovery:
-                config = configuration(discovery.address, *known, memory_mb=32)
-                async with node(tmp_path, config) as proxy:
-                    reader, writer = await proxy.connect()
-                    writer.write(request("a1"))
-                    await backend.asked.wait()
-                    proxy.signal(signal.SIGTERM)
-                    backend.writers[0].write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")
-                    assert await answer_of(reader) == ("200", b"done")
-                    assert await reader.read() == b""  # and the connection with it
-                    assert await proxy.process.wait() == 0
+        backend = Backend(lambda head, body: None)
+        async with one_behind(tmp_path, backend, memory_mb=32) as proxy:
+            reader, writer = await proxy.connect()
+            writer.write(request("a1"))
+            await backend.asked.wait()
+            proxy.signal(signal.SIGTERM)
+            backend.writers[0].write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")
+            assert await answer_of(reader) == ("200", b"done")
+            assert await reader.read() == b""  # and the connection with it
+            assert await proxy.process.wait() == 0
 
     run(talk())
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -5,16 +5,10 @@
 
 import pytest
 
-from flintplank.interface import BackendInfo, Effect, ListKind, Outcome, RequestClass, Settings, State
-from tests.host import Host
+from flintplank.interface import BackendInfo, ListKind, Outcome, State
+from tests.host import Host, large
 
-
-def settings() -> Settings:
-    klass = RequestClass("read", 400.0, 2000.0, effect=Effect.IDEMPOTENT)
-    return Settings(
-        (klass,), proxies=40, slot=7, max_attempts=4, warm_keys=True, cold_from=0.2, cold_ms=5_000.0,
-        fall_ms=2000.0,
-    )  # fmt: skip
+SETTINGS = large(proxies=40, slot=7, warm_keys=True, cold_ms=5_000.0)
 
 
 def line(number: int, started: float = 0.0, state: State = State.UP) -> BackendInfo:
@@ -35,7 +29,7 @@
 
 @pytest.mark.parametrize("seed", [1, 2])
 def test_ten_thousand_backends_come_and_go_and_no_table_grows(seed: int) -> None:
-    draw, host, up = random.Random(seed), Host(settings(), seed), list(range(30))
+    draw, host, up = random.Random(seed), Host(SETTINGS, seed), list(range(30))
     host.listed(ListKind.CACHED, *map(line, up))
     early: dict[str, int] = {}
     for number in range(30, 10_030):
@@ -62,7 +56,7 @@
 
 
 def test_a_change_of_the_list_moves_the_homes_of_the_affected_keys_alone() -> None:
-    host = Host(settings())
+    host = Host(SETTINGS)
     host.listed(ListKind.CACHED, *map(line, range(40)))
 
     def homes() -> dict[int, list[int]]:
--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -1,5 +1,7 @@
 """Rules 1 to 3 for single requests: each effect, outcome and what may follow."""
 
+from dataclasses import replace
+
 import pytest
 
 from flintplank.interface import (
@@ -8,6 +10,7 @@
     Effect,
     Fail,
     ListKind,
+    NewSettings,
     Outcome,
     Refuse,
     RequestClass,
@@ -127,6 +130,15 @@
     assert host.log.count(WatchList()) == 7
 
 
+def test_a_reload_that_shortens_the_time_to_ask_within_counts_for_the_next_call() -> None:
+    host = Host(Settings((RequestClass("work"),), watch_list=True, ask_within_ms=10000.0))
+    host.listed(ListKind.CACHED, *fleet(2))
+    host.run_to(host.now + 3000.0)
+    host.balancer.handle(host.now, NewSettings(replace(host.settings, ask_within_ms=600.0)))
+    (again,) = host.listed(ListKind.FAILED)
+    assert isinstance(again, SetTimer) and again.delay_ms <= 200.0
+
+
 def test_nothing_follows_once_the_client_is_gone() -> None:
     host = host_of(Effect.IDEMPOTENT)
     ident = host.arrive()
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -25,6 +25,7 @@
     configuration,
     entry,
     node,
+    one_behind,
     request,
     run,
 )
@@ -209,15 +210,13 @@
     """The backend says nothing; the deadline is longer than the time before SIGKILL."""
 
     async def talk() -> None:
-        async with Backend(lambda head, body: None) as mute:
-            known = [entry("b1", mute.address)]
-            async with Discovery(*known) as discovery:
-                async with node(tmp_path, configuration(discovery.address, *known), True) as proxy:
-                    asked = asyncio.create_task(proxy.ask("slow"))
-                    await mute.asked.wait()
-                    proxy.signal(signal.SIGTERM)
-                    assert (await asked)[0] == "504"
-                    assert await proxy.process.wait() == 0
+        mute = Backend(lambda head, body: None)
+        async with one_behind(tmp_path, mute, True) as proxy:
+            asked = asyncio.create_task(proxy.ask("slow"))
+            await mute.asked.wait()
+            proxy.signal(signal.SIGTERM)
+            assert (await asked)[0] == "504"
+            assert await proxy.process.wait() == 0
 
     run(talk())
 
--- a/tests/test_speed.py
+++ b/tests/test_speed.py
@@ -3,9 +3,9 @@
 import pytest
 
 from flintplank.choice import Balancer
-from flintplank.interface import BackendInfo, Effect, ListKind, Outcome, RequestClass, Settings
+from flintplank.interface import BackendInfo, ListKind, Outcome
 from flintplank.speed import OWN_AFTER, Speed, Speeds
-from tests.host import Host
+from tests.host import Host, large
 
 COST = 60.0  # ms: the fixed part and a hint of 50
 LATENCY = {"fast": 20.0, "slow": 120.0}
@@ -14,13 +14,6 @@
 BACKENDS = 24  # of the whole fleet
 
 
-def settings(proxies: int = 1, slot: int | None = None) -> Settings:
-    klass = RequestClass("read", 400.0, 2000.0, effect=Effect.IDEMPOTENT)
-    return Settings(
-        (klass,), proxies=proxies, slot=slot, cold_from=0.2, cold_ms=20_000.0, fall_ms=2000.0, max_attempts=4
-    )
-
-
 def line(number: int, started: float = 0.0) -> BackendInfo:
     return BackendInfo(number, zone="z", kind=("fast", "slow")[number % 2], started_ms=started)
 
@@ -71,7 +64,7 @@
 
 def test_a_cold_backend_tells_nothing_of_its_kind() -> None:
     """How cold it is, is the least that the rule assures: what warms sooner would make all look faster."""
-    host = Host(settings())
+    host = Host(large())
     host.listed(ListKind.CACHED, line(0, host.now), line(2))
     for _ in range(100):
         host.run_to(host.now + 20.0)
@@ -83,7 +76,7 @@
 
 
 def test_kinds_that_the_list_no_longer_names_are_forgotten() -> None:
-    host = Host(settings())
+    host = Host(large())
     for number in range(1000):
         host.listed(ListKind.FULL, BackendInfo(number, kind=f"k{number}"), line(10_000))
         ident = host.arrive()
@@ -92,7 +85,7 @@
 
 
 def test_a_cold_backend_is_sent_work_by_the_speed_of_its_kind() -> None:
-    host = Host(settings(), seed=3)
+    host = Host(large(), seed=3)
     host.listed(ListKind.CACHED, *map(line, range(8)))
     serve(host, 10_000.0, 10.0)
     start = host.now
@@ -105,7 +98,7 @@
 @pytest.mark.parametrize("proxies", [5, 40])
 def test_all_proxies_together_stay_under_the_rule_and_use_a_good_part_of_it(proxies: int, seed: int) -> None:
     """Half the fleet comes back cold: rule 4 counts the work of all proxies in every window of 2 s."""
-    hosts = [Host(settings(proxies, n), seed * 1000 + n) for n in range(proxies)]
+    hosts = [Host(large(proxies=proxies, slot=n), seed * 1000 + n) for n in range(proxies)]
     capacity = 2.0  # cores of the fast kind's speed, of which six tenths are asked for
     speed = {"fast": 3.0, "slow": 0.5}
     total = capacity * sum(speed[line(n).kind] for n in range(BACKENDS))
@@ -132,6 +125,6 @@
 
 
 def test_speeds_end_with_their_proxy() -> None:
-    one, other = (Balancer(settings(), seed=1) for _ in range(2))
+    one, other = (Balancer(large(), seed=1) for _ in range(2))
     one.speeds.learn("fast", Speed(), 5.0)
     assert other.speeds.of_kind("fast") == 1.0
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -15,6 +15,7 @@
 from tests.loopback import (
     Discovery,
     Listener,
+    Node,
     answer_of,
     configuration,
     entry,
@@ -141,22 +142,17 @@
             halt.set()
             await asyncio.Event().wait()
 
-        async with Listener(deaf) as backend:
-            known = [entry("b1", backend.address)]
-            async with Discovery(*known) as discovery:
-                async with node(tmp_path, configuration(discovery.address, *known)) as proxy:
-                    before = memory_kb(proxy.process.pid)
-                    clients = [await proxy.connect() for _ in range(4)]
-                    for number, (_, writer) in enumerate(clients):
-                        writer.write(head(f"d{number}", f"Content-Length: {30 * MB}"))
-                        writer.write(b"x" * (30 * MB))
-                    await halt.wait()
-                    reader, writer = await proxy.connect()
-                    writer.write(b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n")
-                    assert (await answer_of(reader))[0] == "200"
-                    assert memory_kb(proxy.process.pid) - before < 16 * 1024
-                    for _, writer in clients:
-                        writer.transport.abort()
+        backend = Listener(deaf)
+        async with one_behind(tmp_path, backend) as proxy:
+            before = memory_kb(proxy.process.pid)
+            clients = [await proxy.connect() for _ in range(4)]
+            for number, (_, writer) in enumerate(clients):
+                writer.write(head(f"d{number}", f"Content-Length: {30 * MB}"))
+                writer.write(b"x" * (30 * MB))
+            await halt.wait()
+            await serves_within(proxy, before + 16 * 1024)
+            for _, writer in clients:
+                writer.transport.abort()
 
     run(talk())
 
@@ -164,23 +160,27 @@
 def test_a_long_body_that_finds_no_room_reaches_no_backend_in_part(tmp_path: Path) -> None:
     async def talk() -> None:
         backend = Digests()
-        async with backend:
-            known = [entry("b1", backend.address)]
-            async with Discovery(*known) as discovery:
-                config = configuration(discovery.address, *known, memory_mb=30)  # 1 MiB for bodies
-                async with node(tmp_path, config) as proxy:
-                    _, first = await proxy.connect()
-                    first.write(head("r1", f"Content-Length: {len(LONG)}") + LONG[:900_000])
-                    await backend.begun.wait()
-                    reader, writer = await proxy.connect()
-                    writer.write(head("r2", "Content-Length: 2000000") + LONG[:2_000_000])
-                    assert (await answer_of(reader))[0] == "503"
-                    assert [told["x-request-id"] for told in backend.heads] == ["r1"]
-                    first.transport.abort()
+        async with one_behind(tmp_path, backend, memory_mb=30) as proxy:  # 1 MiB for bodies
+            _, first = await proxy.connect()
+            first.write(head("r1", f"Content-Length: {len(LONG)}") + LONG[:900_000])
+            await backend.begun.wait()
+            reader, writer = await proxy.connect()
+            writer.write(head("r2", "Content-Length: 2000000") + LONG[:2_000_000])
+            assert (await answer_of(reader))[0] == "503"
+            assert [told["x-request-id"] for told in backend.heads] == ["r1"]
+            first.transport.abort()
 
     run(talk())
 
 
+async def serves_within(proxy: Node, most_kb: int) -> None:
+    """It still answers, and holds no more than that."""
+    reader, writer = await proxy.connect()
+    writer.write(b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n")
+    assert (await answer_of(reader))[0] == "200"
+    assert memory_kb(proxy.process.pid) < most_kb
+
+
 def memory_kb(process: int) -> int:
     lines = Path(f"/proc/{process}/status").read_text().splitlines()
     return next(int(line.split()[1]) for line in lines if line.startswith("VmRSS"))
@@ -319,10 +319,7 @@
                 writer.write(request(f"r{number}", "read"))
             while backend.opened < 6:
                 await asyncio.sleep(0)
-            reader, writer = await proxy.connect()
-            writer.write(b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n")
-            assert (await answer_of(reader))[0] == "200"
-            assert memory_kb(proxy.process.pid) - before < 16 * 1024
+            await serves_within(proxy, before + 16 * 1024)
             for _, writer in clients:
                 writer.transport.abort()
             for end in list(backend.ends.values()):
--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -5,17 +5,20 @@
 
 import pytest
 
-from flintplank.interface import BackendInfo, Effect, ListKind, Outcome, RequestClass, Settings
+from flintplank.choice import REST
+from flintplank.interface import (
+    BackendInfo,
+    ListKind,
+    NewSettings,
+    Outcome,
+    Settings,
+)
 from flintplank.subset import KEPT_BY, LEAST, Subset
-from tests.host import Host
+from tests.host import Host, large
 
 
 def settings(slot: int | None, proxies: int, zone: str = "z0") -> Settings:
-    klass = RequestClass("read", 400.0, 2000.0, effect=Effect.IDEMPOTENT)
-    return Settings(
-        (klass,), proxies=proxies, slot=slot, zone=zone, zones=("z0", "z1"), max_attempts=4,
-        price_cross_zone=0.03,
-    )  # fmt: skip
+    return large(slot=slot, proxies=proxies, zone=zone, zones=("z0", "z1"), price_cross_zone=0.03)
 
 
 def lines(count: int) -> list[BackendInfo]:
@@ -68,6 +71,17 @@
     assert len(used([None], 40, 1)) >= 30 > len(used([4], 40, 1)) > 0
 
 
+def test_a_reload_that_tells_of_a_larger_fleet_ranks_anew() -> None:
+    host = Host(settings(5, 13))
+    host.listed(ListKind.CACHED, *lines(60))
+    host.balancer.handle(host.now, NewSettings(settings(5, 60)))
+    balancer, subset = host.balancer, Subset(5, 60)
+    for ident, backend in balancer.backends.items():
+        assert backend.rank == subset.rank(ident)
+        assert (backend.heap == REST) == (backend.rank >= subset.kept_by(30))
+    assert 0 < sum(backend.heap != REST for backend in balancer.backends.values()) < 40
+
+
 def test_what_it_does_not_keep_to_is_used_when_nothing_else_is_left() -> None:
     host, subset = Host(settings(3, 40)), Subset(3, 40)
     foreign = [info for info in lines(400) if info.zone == "z0" and subset.rank(info.backend) >= 27][:12]
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -127,18 +127,24 @@
     assert tdiff * 0.4 < -middle < tdiff * 0.6
 
 
-def test_of_near_equals_the_one_that_served_lately_takes_the_turn() -> None:
-    """Its connection is open; one more to another backend would stand in a table that all proxies share."""
-    host = Host(Settings((RequestClass("read", effect=Effect.IDEMPOTENT),), max_attempts=3))
-    host.listed(ListKind.CACHED, *fleet(6))
+def served(host: Host, requests: int, took: float, pause: float) -> list[int]:
+    """Who served so many requests, one after the other."""
     host.run_to(host.now + 500.0)
     used = []
-    for _ in range(6):
+    for _ in range(requests):
         ident = host.arrive()
         used.append(host.owed[ident].attempts[0].backend)
-        host.run_to(host.now + 20.0)
+        host.run_to(host.now + took)
         host.end(ident, 0, Outcome.SERVED, 20.0)
-        host.run_to(host.now + 400.0)  # the board is worked off
+        host.run_to(host.now + pause)
+    return used
+
+
+def test_of_near_equals_the_one_that_served_lately_takes_the_turn() -> None:
+    """Its connection is open; one more to another backend would stand in a table that all proxies share."""
+    host = Host(Settings((WORK,), max_attempts=3))
+    host.listed(ListKind.CACHED, *fleet(6))
+    used = served(host, 6, took=20.0, pause=400.0)  # in which the board is worked off
     assert len(set(used)) < 6  # without, they would take turns
     host.run_to(host.now + 5000.0)
     last = used[-1]
@@ -149,12 +155,5 @@
 
 
 def test_who_served_lately_is_passed_over_once_it_has_much_more_booked() -> None:
-    host = Host(Settings((RequestClass("read", effect=Effect.IDEMPOTENT),), max_attempts=3))
-    host.listed(ListKind.CACHED, *fleet(6))
-    host.run_to(host.now + 500.0)
-    used = []
-    for _ in range(12):
-        ident = host.arrive()
-        used.append(host.owed[ident].attempts[0].backend)
-        host.end(ident, 0, Outcome.SERVED, 20.0)
+    used = served(host_of(6), 12, took=0.0, pause=0.0)
     assert len(set(used)) == 6, used
