--- a/heronreel/routes/load.py
+++ b/heronreel/routes/load.py
@@ -8,15 +8,10 @@
 
 import difflib
 import ipaddress
-import math
 import re
-import tomllib
-import typing
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from typing import Any
 
-import msgspec
-
 from flintplank.interface import Effect
 from heronreel.routes import schema
 from heronreel.routes.model import (
@@ -30,7 +25,6 @@
     Path,
     Policy,
     Pool,
-    Problem,
     Process,
     Reach,
     Route,
@@ -38,11 +32,8 @@
     Share,
     Tenant,
 )
-from heronreel.routes.source import lines_of
+from heronreel.routes.reader import Reader, parse, shown
 
-BYTES_MOST = 4 << 20  # 10,000 routes take some 2 MB; TOML is read by slow code, and a reload must not stall
-LINE_MOST = 16 << 10  # characters; a key of thousands of dotted parts costs their square
-PROBLEMS_MOST = 500
 MEMBERS_MOST, ROUTES_MOST = 10_000, 20_000
 METHODS = frozenset(("GET", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"))  # that the proxy takes at all
 _TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]{1,64}")  # RFC 9110, 5.6.2
@@ -51,126 +42,16 @@
 )
 _SEGMENT = re.compile(r"[A-Za-z0-9._~!$&'()*+,;=:@%-]*")  # RFC 3986, 3.3
 _PARAMETER = re.compile(r"\{[A-Za-z_][A-Za-z0-9_]{0,31}\}")
-_PLACE = re.compile(r"\(at (?:line (\d+), column \d+|end of document)\)")
 SEGMENTS_MOST = 32
 
 
-class BadFile(Exception):
-    """A file that can't be used; `problems` holds all that is wrong with it, by line."""
-
-    def __init__(self, problems: list[Problem]) -> None:
-        self.problems = sorted(problems, key=lambda problem: problem.line)
-        super().__init__("; ".join(str(problem) for problem in self.problems[:3]))
-
-
-def shown(value: object) -> str:
-    """A value as the file would have it, short."""
-    if isinstance(value, bool):
-        return "true" if value else "false"
-    if isinstance(value, dict):
-        return f"a table of {len(value)}"
-    if isinstance(value, list):
-        return f"a list of {len(value)}"
-    if isinstance(value, float) and not math.isfinite(value):
-        return str(value)
-    if isinstance(value, str):
-        return f'"{value[:40]}{"…" if len(value) > 40 else ""}"'
-    if isinstance(value, int) and abs(value) > 10**15:
-        return "a number of over 15 digits"
-    return str(value)[:40]
-
-
 def load(data: bytes) -> RoutesFile:
     """The file's records.  Raises BadFile with every problem of form."""
-    raw, lines = _parse(data)
+    raw, lines = parse(data)
     return _Loader(raw, lines).load()
 
 
-def _parse(data: bytes) -> tuple[dict[str, Any], dict[Path, int]]:
-    def refuse(line: int, wrong: str, right: str) -> BadFile:
-        return BadFile([Problem(line, "file", wrong, right, "text")])
-
-    if len(data) > BYTES_MOST:
-        raise refuse(0, f"has {len(data):,} bytes", f"at most {BYTES_MOST:,} are read")
-    data = data.removeprefix(b"\xef\xbb\xbf")  # editors on some systems put a byte order mark first
-    if (place := data.find(b"\0")) >= 0:
-        raise refuse(data.count(b"\n", 0, place) + 1, "holds a NUL byte", "expected TOML in UTF-8")
-    try:
-        text = data.decode()
-    except UnicodeDecodeError as error:
-        line = data.count(b"\n", 0, error.start) + 1
-        raise refuse(line, f"byte {error.start} is not UTF-8", "expected TOML in UTF-8") from None
-    for number, row in enumerate(text.split("\n"), 1):
-        if len(row) > LINE_MOST:
-            raise refuse(number, f"a line of {len(row):,} characters", f"at most {LINE_MOST:,} are read")
-    text = text.replace("\r\n", "\n")
-    try:
-        raw = tomllib.loads(text)
-        return raw, lines_of(text)
-    except RecursionError:
-        raise refuse(0, "is nested too deeply", "expected tables and lists a few levels deep") from None
-    except ValueError as error:
-        found = _PLACE.search(str(error))
-        line = int(found[1]) if found and found[1] else text.count("\n") + 1 if found else 0
-        raise refuse(line, f"is no TOML: {_PLACE.sub('', str(error)).strip()}", "see toml.io") from None
-
-
-def _fields(spec: type[msgspec.Struct]) -> dict[str, Any]:
-    return {field.encode_name: field for field in msgspec.structs.fields(spec)}
-
-
-_SPECS: dict[type[msgspec.Struct], dict[str, Any]] = {
-    spec: _fields(spec)
-    for spec in (
-        schema.Top, schema.ProxyTable, schema.ListenerTable, schema.PoolTable, schema.MemberTable,
-        schema.TenantTable, schema.MatchTable, schema.PolicyFields, schema.RouteTable, schema.SplitTable,
-    )
-}  # fmt: skip
-
-
-def _wanted(kind: Any) -> str:
-    """The description of a field's type; of its first part where it may be absent."""
-    for part in (kind, *typing.get_args(kind)):
-        for meta in getattr(part, "__metadata__", ()):
-            if isinstance(meta, msgspec.Meta) and meta.description:
-                return f"expected {meta.description}"
-    return "expected another value"
-
-
-class _Loader:
-    def __init__(self, raw: dict[str, Any], lines: dict[Path, int]) -> None:
-        self.raw = raw
-        self.lines = lines
-        self.problems: list[Problem] = []
-        self.dropped = 0
-
-    def wrong(self, path: Path, wrong: str, right: str, rule: str = "form") -> None:
-        if len(self.problems) >= PROBLEMS_MOST:
-            self.dropped += 1
-            return
-        at = path
-        while at and at not in self.lines:
-            at = at[:-1]
-        self.problems.append(Problem(self.lines.get(at, 0), self._spoken(path), wrong, right, rule))
-
-    def _spoken(self, path: Path) -> str:
-        """("routes", 3, "attempts") as routes.salva-profilo.attempts."""
-        words: list[str] = []
-        here: Any = self.raw
-        for step in path:
-            here = (
-                here[step]
-                if isinstance(here, list) and isinstance(step, int) and step < len(here)
-                else (here.get(step) if isinstance(here, dict) else None)
-            )
-            if isinstance(step, str):
-                words.append(f".{step}")
-            elif isinstance(here, dict) and isinstance(here.get("name"), str) and here["name"]:
-                words.append(f".{here['name'][:64]}")
-            else:
-                words.append(f"[{step}]")
-        return "".join(words).lstrip(".") or "file"
-
+class _Loader(Reader):
     def load(self) -> RoutesFile:
         top = self.table(self.raw, (), schema.Top)
         file = RoutesFile(
@@ -182,63 +63,9 @@
             self.lines,
         )
         routes = self._routes(file)
-        if self.problems:
-            if self.dropped:
-                more = Problem(0, "file", f"{self.dropped} more problems", "mend the others first")
-                self.problems.append(more)
-            raise BadFile(self.problems)
+        self.finish()
         return RoutesFile(file.process, file.listeners, file.pools, file.tenants, routes, self.lines)
 
-    def table(self, raw: object, path: Path, spec: type[msgspec.Struct]) -> dict[str, Any]:
-        """The fields that are set and right, by name; a problem for each that is not."""
-        fields = _SPECS[spec]
-        if not isinstance(raw, dict):
-            self.wrong(path, f"is {shown(raw)}", "expected a table")
-            return {}
-        values: dict[str, Any] = {}
-        for name, value in raw.items():
-            field = fields.get(name)
-            if field is None:
-                near = difflib.get_close_matches(name, fields, 1)
-                right = f"did you mean {near[0]!r}?" if near else f"known here: {', '.join(sorted(fields))}"
-                self.wrong((*path, name), "no such field", right, "unknown-field")
-                continue
-            try:
-                values[name] = msgspec.convert(value, field.type, strict=True)
-            except msgspec.ValidationError as error:
-                place = re.search(r"`\$(.*)`", str(error))
-                where = f" at {place[1]}" if place else ""
-                self.wrong((*path, name), f"is {shown(value)}{where}", _wanted(field.type))
-        for name, field in fields.items():
-            if field.required and name not in raw:
-                self.wrong(path, f"{name} is missing", _wanted(field.type), "missing-field")
-        return values
-
-    def tables(self, raw: object, path: Path, most: int) -> list[tuple[Path, dict[str, Any]]]:
-        """An array of tables, with the path of each."""
-        if raw is msgspec.UNSET or raw is None:
-            return []
-        if not isinstance(raw, list) or not all(isinstance(row, dict) for row in raw):
-            self.wrong(
-                path, f"is {shown(raw)}", f"expected tables, each under [[{'.'.join(map(str, path))}]]"
-            )
-            return []
-        if len(raw) > most:
-            self.wrong(path, f"has {len(raw):,} entries", f"at most {most:,} are allowed")
-            return []
-        return [((*path, place), row) for place, row in enumerate(raw)]
-
-    def once(self, rows: Iterable[tuple[Path, str]], what: str) -> None:
-        """Each name once; a second one names the line of the first."""
-        seen: dict[str, Path] = {}
-        for path, name in rows:
-            if name in seen:
-                first = self.lines.get(seen[name], 0)
-                self.wrong(
-                    path, f"{what} {name!r} stands on line {first} already", f"each {what} once", "duplicate"
-                )
-            seen.setdefault(name, path)
-
     def _address(self, text: str, path: Path, any_port: bool) -> tuple[str, int]:
         host, _, port = text.rpartition(":")
         host = host.strip("[]")
--- a/heronreel/routes/proof.py
+++ b/heronreel/routes/proof.py
@@ -17,7 +17,7 @@
 
 from flintplank.interface import DedupScope, Effect, Settings
 from heronreel.routes.index import Clash, Example, RouteIndex
-from heronreel.routes.load import BadFile, load
+from heronreel.routes.load import load
 from heronreel.routes.model import (
     EFFECT_WORDS,
     GROUP_WORDS,
@@ -29,6 +29,7 @@
     Route,
     RoutesFile,
 )
+from heronreel.routes.reader import BadFile
 from heronreel.routes.timeline import Step, Terms, What
 
 WRITES = frozenset(("POST", "PATCH"))  # the methods taken that are not idempotent (RFC 9110, 9.2.2)
--- a/heronreel/serve/files.py
+++ b/heronreel/serve/files.py
@@ -4,9 +4,9 @@
 
 from pathlib import Path
 
-from heronreel.routes.load import BYTES_MOST
 from heronreel.routes.model import Limits, Problem
 from heronreel.routes.proof import Finding, Report, check
+from heronreel.routes.reader import BYTES_MOST
 
 
 def checked(path: str, platform: Limits | None = None) -> Report:
--- a/tests/test_routes_text.py
+++ b/tests/test_routes_text.py
@@ -9,7 +9,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from heronreel.routes.load import BYTES_MOST, PROBLEMS_MOST, BadFile, load
+from heronreel.routes.load import load
+from heronreel.routes.reader import BYTES_MOST, PROBLEMS_MOST, BadFile
 from heronreel.routes.source import lines_of
 
 EXAMPLE = (Path(__file__).parent.parent / "examples/profili.toml").read_bytes()
