--- a/heronreel/cli/__main__.py
+++ b/heronreel/cli/__main__.py
@@ -8,6 +8,7 @@
 from heronreel.cli.check import check_command
 from heronreel.cli.demo import demo_command
 from heronreel.cli.explain import explain_command
+from heronreel.cli.rehearse import rehearse_group
 from heronreel.cli.serve import serve_command
 from heronreel.cli.store import store_group
 
@@ -23,6 +24,7 @@
 main.add_command(serve_command)
 main.add_command(demo_command)
 main.add_command(store_group)
+main.add_command(rehearse_group)
 
 if __name__ == "__main__":
     main(prog_name="heronreel")
--- /dev/null
+++ b/heronreel/emulator/policies.py
@@ -0,0 +1,350 @@
+"""The policies a rehearsal can play: ours, the plain ones it is shown beside, and careless ones.
+
+Each takes the events of `flintplank.interface` and gives its actions, as the real module does, so one host
+plays them all.  The plain ones keep the rules as anybody would who reads them, and ask for the list at the
+same pace as ours: what differs is whom they choose and whether they try again.  The careless ones break one
+rule each, to show that the observer says so.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from heapq import nlargest
+from typing import ClassVar, Protocol
+
+from flintplank import interface as api
+from flintplank import subset
+from flintplank.asking import Asking
+from flintplank.choice import Balancer
+from flintplank.subset import Subset, rendezvous
+
+WATCH = 1
+ADVICE = 0.5  # of the aim: what plain policies tell the refused to wait
+HOMES = 8  # nodes in a key's order that bounded-load hashing looks at
+BOUND = 1.25  # times the mean load that a node may have there (the usual choice)
+RANKS_MOST = 20_000  # backends whose ranks are kept
+LOOKED_AT = 40  # nodes that the one which sees the true state compares at most
+
+
+class Decider(Protocol):
+    def handle(self, now_ms: float, event: api.Event) -> list[api.Action]: ...
+
+
+class Truth(Protocol):
+    """What only an emulator can tell: the true state of a node, at once."""
+
+    def wait_ms(self, zone: str, backend: int, work: float) -> float:
+        """Until it would have answered, infinite where it would not."""
+
+
+@dataclass(slots=True)
+class Pending:
+    arrival: api.Arrival
+    klass: api.RequestClass
+    deadline: float
+    tried: list[int] = field(default_factory=list)
+    out: int = 0
+    first_maybe: tuple[int, float] | None = None  # node and time of an attempt that may have run
+
+
+class Plain:
+    """Keeps the rules, chooses by `pick`, tries `tries` times what never ran."""
+
+    def __init__(self, settings: api.Settings, seed: int, truth: Truth | None = None, tries: int = 1) -> None:
+        self.settings, self.truth = settings, truth
+        self.tries = min(tries, settings.max_attempts)
+        self.random = random.Random(seed)
+        self.asking = Asking(settings.ask_within_ms)
+        self.classes = {klass.name: klass for klass in settings.classes}
+        self.infos: dict[int, api.BackendInfo] = {}
+        self.order: list[int] = []
+        self.load: dict[int, int] = {}  # attempts out
+        self.pending: dict[int, Pending] = {}
+        self.legs: dict[tuple[int, int], float] = {}  # sent at
+        self.started = False
+        self.actions: list[api.Action] = []
+
+    def handle(self, now_ms: float, event: api.Event) -> list[api.Action]:
+        self.actions = []
+        match event:
+            case api.Arrival():
+                klass = self.classes[event.klass]
+                pending = Pending(event, klass, now_ms + event.time_left_ms)
+                self.pending[event.request] = pending
+                self._go_on(now_ms, pending)
+            case api.AttemptEnded():
+                self._ended(now_ms, event)
+            case api.ClientGone():
+                self.pending.pop(event.request, None)
+            case api.BackendList():
+                self._list(now_ms, event)
+            case api.TimerFired(token) if token == WATCH:
+                self.asking.asks(now_ms)
+                self.actions.append(api.WatchList())
+            case api.NewSettings():
+                self.settings = event.settings
+        return self.actions
+
+    def _list(self, now: float, news: api.BackendList) -> None:
+        if not self.started:
+            self.started = True
+            if self.settings.watch_list:
+                self.actions.append(api.SetTimer(WATCH, self.asking.begin(self.random)))
+        if news.kind is api.ListKind.FAILED:
+            wait = self.asking.failed(self.random)
+            if wait is not None:
+                self.actions.append(api.SetTimer(WATCH, wait))
+            return
+        self.asking.told(now)
+        if news.kind is not api.ListKind.CHANGES:
+            self.infos.clear()
+        for info in news.backends:
+            self.entry(info)
+        self.order = list(self.infos)
+        self.random.shuffle(self.order)
+
+    def entry(self, info: api.BackendInfo) -> None:
+        if info.state is api.State.UP:
+            self.infos[info.backend] = info
+        else:
+            self.infos.pop(info.backend, None)
+
+    def _ended(self, now: float, ended: api.AttemptEnded) -> None:
+        sent_at = self.legs.pop((ended.request, ended.attempt))
+        self.load[ended.backend] = self.load.get(ended.backend, 1) - 1
+        if not self.load[ended.backend]:
+            del self.load[ended.backend]
+        pending = self.pending.get(ended.request)
+        if pending is None:
+            return
+        pending.out -= 1
+        if ended.finished:
+            del self.pending[ended.request]
+            return
+        if ended.outcome not in api.NEVER_RAN and pending.first_maybe is None:
+            pending.first_maybe = (ended.backend, sent_at)
+        if not pending.out:
+            self._go_on(now, pending, ended.outcome)
+
+    def may_repeat(self, now: float, pending: Pending) -> bool:
+        """Whether another attempt is wanted after one that may have run."""
+        return False
+
+    def _go_on(self, now: float, pending: Pending, last: api.Outcome | None = None) -> None:
+        maybe = pending.first_maybe is not None
+        again = not pending.tried or not maybe or self.may_repeat(now, pending)
+        chosen = None
+        if now < pending.deadline and len(pending.tried) < self.tries and again:
+            chosen = self.pick(now, pending)
+        if chosen is not None:
+            self.send(now, pending, chosen)
+            return
+        self.give_up(now, pending)
+
+    def send(self, now: float, pending: Pending, chosen: int) -> None:
+        ident = pending.arrival.request
+        self.legs[ident, len(pending.tried)] = now
+        pending.tried.append(chosen)
+        pending.out += 1
+        self.load[chosen] = self.load.get(chosen, 0) + 1
+        self.actions.append(api.StartAttempt(ident, chosen, self.timeout(pending)))
+
+    def timeout(self, pending: Pending) -> float:
+        return 0.0
+
+    def give_up(self, now: float, pending: Pending) -> None:
+        ident, klass = pending.arrival.request, pending.klass
+        del self.pending[ident]
+        everywhere = klass.effect is api.Effect.KEYED and klass.scope is api.DedupScope.ALL
+        if pending.first_maybe is None or everywhere or klass.effect is api.Effect.IDEMPOTENT:
+            advice = klass.aim_ms * ADVICE * self.random.uniform(0.5, 1.5)
+            self.actions.append(api.Refuse(ident, min(advice, self.settings.max_retry_after_ms)))
+        else:
+            self.actions.append(api.Fail(ident))
+
+    def pick(self, now: float, pending: Pending) -> int | None:
+        raise NotImplementedError
+
+    def untried(self, pending: Pending) -> list[int]:
+        return [ident for ident in self.order if ident not in pending.tried] if pending.tried else self.order
+
+
+class Random(Plain):
+    def pick(self, now: float, pending: Pending) -> int | None:
+        left = self.untried(pending)
+        return self.random.choice(left) if left else None
+
+
+class RoundRobin(Plain):
+    turn = 0
+
+    def pick(self, now: float, pending: Pending) -> int | None:
+        if not self.order:
+            return None
+        self.turn += 1
+        return self.order[self.turn % len(self.order)]
+
+
+class LeastOfTwo(Plain):
+    """Two drawn, the one with fewer attempts of our own out."""
+
+    def pick(self, now: float, pending: Pending) -> int | None:
+        left = self.untried(pending)
+        if not left:
+            return None
+        one, other = self.random.choice(left), self.random.choice(left)
+        return one if self.load.get(one, 0) <= self.load.get(other, 0) else other
+
+
+class BoundedHash(Plain):
+    """A key's own node, unless it has more than its share out: then the next in the key's order."""
+
+    def __init__(self, settings: api.Settings, seed: int, truth: Truth | None = None, tries: int = 1) -> None:
+        super().__init__(settings, seed, truth, tries)
+        self.homes: dict[int, list[int]] = {}
+
+    def _list(self, now: float, news: api.BackendList) -> None:
+        super()._list(now, news)
+        self.homes.clear()
+
+    def pick(self, now: float, pending: Pending) -> int | None:
+        if not self.order:
+            return None
+        key = pending.arrival.key or 0
+        if key not in self.homes:
+            if len(self.homes) >= 4096:
+                self.homes.clear()
+            self.homes[key] = nlargest(HOMES, self.order, key=lambda ident: rendezvous(key, ident))
+        most = BOUND * (sum(self.load.values()) + 1) / len(self.order)
+        for home in self.homes[key]:
+            if home not in pending.tried and self.load.get(home, 0) + 1 <= max(1.0, most):
+                return home
+        left = self.untried(pending)
+        return min(left, key=lambda ident: self.load.get(ident, 0), default=None)
+
+
+class SeesAll(Plain):
+    """Knows what every node has to do at this moment, and refuses what none would serve in time."""
+
+    def pick(self, now: float, pending: Pending) -> int | None:
+        assert self.truth is not None
+        left = self.untried(pending)
+        if len(left) > LOOKED_AT:
+            left = self.random.sample(left, LOOKED_AT)
+        best, least = None, pending.deadline - now
+        for ident in left:
+            wait = self.truth.wait_ms(self.settings.zone, ident, pending.arrival.hint_ms or 1.0)
+            if wait < least:
+                best, least = ident, wait
+        return best
+
+
+class Storm(LeastOfTwo):
+    """Times out at the aim and tries again anywhere, as often as it may, without a budget."""
+
+    def timeout(self, pending: Pending) -> float:
+        return pending.klass.aim_ms
+
+    def may_repeat(self, now: float, pending: Pending) -> bool:
+        return pending.klass.effect is api.Effect.IDEMPOTENT
+
+
+class CarelessLost(LeastOfTwo):
+    """Forgets a request whose attempts are used up."""
+
+    def give_up(self, now: float, pending: Pending) -> None:
+        del self.pending[pending.arrival.request]
+
+
+class CarelessTwice(LeastOfTwo):
+    """Tries again whatever may have happened, wherever."""
+
+    def timeout(self, pending: Pending) -> float:
+        return pending.klass.aim_ms
+
+    def may_repeat(self, now: float, pending: Pending) -> bool:
+        return True
+
+
+class CarelessDrain(LeastOfTwo):
+    """Goes on with nodes that drain."""
+
+    def entry(self, info: api.BackendInfo) -> None:
+        super().entry(replace(info, state=api.State.UP))
+
+
+class CarelessCold(LeastOfTwo):
+    """The newest node is idle, so it must be the best."""
+
+    def pick(self, now: float, pending: Pending) -> int | None:
+        newest = max((info.started_ms for info in self.infos.values()), default=0.0)
+        fresh = [i for i, info in self.infos.items() if info.started_ms == newest and now - newest < 10_000.0]
+        fresh = [ident for ident in fresh if ident not in pending.tried]
+        return self.random.choice(fresh) if newest and fresh else super().pick(now, pending)
+
+
+class SharedRanks(Subset):
+    """Ranks of all proxies for a backend, sorted once for the whole fleet: each proxy by itself counts them.
+
+    The ranks are the same (`tests/test_emulator.py`); at 200 proxies and 200 nodes counting took a third of
+    the time of a play of ten seconds.
+    """
+
+    tables: ClassVar[dict[tuple[int, int], list[int]]] = {}
+
+    def rank(self, backend: int) -> int:
+        if self.proxies <= subset.KEPT_BY:
+            return 0
+        table = self.tables.get((backend, self.proxies))
+        if table is None:
+            if len(self.tables) >= RANKS_MOST:
+                self.tables.clear()
+            order = sorted((subset._mixed(backend, slot), slot) for slot in range(self.proxies))
+            table = [0] * self.proxies
+            for rank, (_, slot) in enumerate(order):
+                table[slot] = rank
+            self.tables[backend, self.proxies] = table
+        return table[self.slot]
+
+
+class Hosted(Balancer):
+    """The real module, with what is alike for all proxies found once."""
+
+    def _settle(self, settings: api.Settings) -> None:
+        super()._settle(settings)
+        self.subset = SharedRanks(settings.slot, settings.proxies)
+
+
+def _ours(settings: api.Settings, seed: int, truth: Truth | None) -> Decider:
+    return Hosted(settings, seed)
+
+
+def _plain(made: Callable[..., Plain], tries: int) -> Callable[[api.Settings, int, Truth | None], Decider]:
+    return lambda settings, seed, truth: made(settings, seed, truth, tries)
+
+
+OURS = "heronreel"
+POLICIES: dict[str, Callable[[api.Settings, int, Truth | None], Decider]] = {
+    OURS: _ours,
+    "random": _plain(Random, 1),
+    "round-robin": _plain(RoundRobin, 1),
+    "least-of-two": _plain(LeastOfTwo, 1),
+    "least-of-two-retry": _plain(LeastOfTwo, 2),
+    "bounded-hash": _plain(BoundedHash, 2),
+    "sees-all": _plain(SeesAll, 2),
+}
+BASELINES = tuple(name for name in POLICIES if name != OURS)
+CARELESS: dict[str, Callable[[api.Settings, int, Truth | None], Decider]] = {
+    "careless-lost": _plain(CarelessLost, 1),
+    "careless-twice": _plain(CarelessTwice, 4),
+    "careless-drain": _plain(CarelessDrain, 1),
+    "careless-cold": _plain(CarelessCold, 4),
+    "storm": _plain(Storm, 4),
+}
+
+
+def make(name: str, settings: api.Settings, seed: int, truth: Truth | None = None) -> Decider:
+    """A decider by its name.  Raises KeyError for one that is not known."""
+    return (POLICIES | CARELESS)[name](settings, seed, truth)
--- /dev/null
+++ b/heronreel/experiments/identity.py
@@ -0,0 +1,159 @@
+"""What a play was a play of: the script's digest, the code's, the seed, and what was set otherwise."""
+
+from __future__ import annotations
+
+import hashlib
+import importlib
+import itertools
+import re
+from collections.abc import Iterator, Mapping
+from contextlib import contextmanager
+from dataclasses import dataclass
+from functools import cache
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from heronreel.emulator.model import Rehearsal
+
+ROOT = Path(__file__).parent.parent.parent
+CODE = ("flintplank", "heronreel/emulator", "heronreel/serve/policies.py", "heronreel/routes")
+PLAYS_MOST = 100_000
+SEED_MOST = 2**63 - 1
+_SEEDS = re.compile(r"(\d+)(?:\.\.(\d+))?")
+_CONSTANT = re.compile(r"(flintplank\.[a-z]+)\.([A-Z][A-Z0-9_]*)")
+
+
+class BadSet(ValueError):
+    """A setting or a list of seeds that can't be used; one line for whom typed it."""
+
+
+def script_digest(rehearsal: Rehearsal) -> str:
+    """Of what the script says; comments and order of tables don't count."""
+    return hashlib.sha256(msgspec.json.encode(rehearsal, order="deterministic")).hexdigest()[:16]
+
+
+@cache
+def code_version() -> str:
+    """Of the code that decides a play's outcome."""
+    digest = hashlib.sha256()
+    for place in CODE:
+        path = ROOT / place
+        for file in sorted(path.rglob("*.py")) if path.is_dir() else [path]:
+            digest.update(f"{file.relative_to(ROOT)}\0".encode() + file.read_bytes() + b"\0")
+    return digest.hexdigest()[:16]
+
+
+def seeds_of(text: str) -> list[int]:
+    """1..20 or 1,4,9..12."""
+    seeds: list[int] = []
+    for part in text.split(","):
+        found = _SEEDS.fullmatch(part.strip())
+        if not found:
+            raise BadSet(f"seeds: {part[:40]!r} is no number and no range such as 1..20")
+        low, high = int(found[1]), int(found[2] or found[1])
+        if high < low or high > SEED_MOST or high - low >= PLAYS_MOST:
+            raise BadSet(f"seeds: {part[:40]!r} runs backwards, or is too many or too large")
+        seeds += range(low, high + 1)
+    return list(dict.fromkeys(seeds))
+
+
+@dataclass(frozen=True, slots=True)
+class Setting:
+    """A place in the script or a constant of the module, and a value for it."""
+
+    key: str
+    value: Any
+
+    def __str__(self) -> str:
+        return f"{self.key}={self.value}"
+
+
+def settings_of(text: str) -> list[Setting]:
+    """KEY=A,B,C as the settings that it stands for."""
+    key, equals, values = text.partition("=")
+    if not equals or not key or not values:
+        raise BadSet(f"set: {text[:60]!r} is not KEY=A,B,C")
+    return [Setting(key.strip(), _value(part.strip())) for part in values.split(",")]
+
+
+def _value(text: str) -> Any:
+    if text in ("true", "false"):
+        return text == "true"
+    for kind in (int, float):
+        try:
+            return kind(text)
+        except ValueError:
+            continue
+    return text
+
+
+def combinations(sets: list[list[Setting]]) -> Iterator[tuple[Setting, ...]]:
+    return itertools.product(*sets)
+
+
+def changed(rehearsal: Rehearsal, settings: tuple[Setting, ...]) -> Rehearsal:
+    """The script with settings of its own; those of constants are left to `constants`."""
+    raw = msgspec.to_builtins(rehearsal)
+    for setting in settings:
+        if _CONSTANT.fullmatch(setting.key):
+            _constant(setting)
+            continue
+        here: Any = raw
+        path = setting.key.split(".")
+        for place, step in enumerate(path):
+            key: Any = int(step) if isinstance(here, list | tuple) and step.isdigit() else step
+            try:
+                if place == len(path) - 1:
+                    old = here[key]
+                    here[key] = float(setting.value) if _is_float(old, setting.value) else setting.value
+                else:
+                    here = here[key]
+            except (KeyError, IndexError, TypeError):
+                raise BadSet(f"set: the script has no {setting.key!r} (lost at {step!r})") from None
+    try:
+        return msgspec.convert(raw, Rehearsal)
+    except msgspec.ValidationError as error:
+        raise BadSet(f"set: {', '.join(map(str, settings))}: {error}") from None
+
+
+def _is_float(old: Any, new: Any) -> bool:
+    return isinstance(old, float) and isinstance(new, int) and not isinstance(new, bool)
+
+
+def _constant(setting: Setting) -> tuple[Any, str]:
+    found = _CONSTANT.fullmatch(setting.key)
+    assert found
+    try:
+        module = importlib.import_module(found[1])
+    except ImportError:
+        raise BadSet(f"set: there is no module {found[1]!r}") from None
+    if not isinstance(getattr(module, found[2], None), int | float):
+        raise BadSet(f"set: {found[1]} has no number {found[2]!r}")
+    return module, found[2]
+
+
+@contextmanager
+def constants(settings: tuple[Setting, ...]) -> Iterator[None]:
+    """Constants of the module set otherwise for a while: a change rehearsed before it is made."""
+    before: list[tuple[Any, str, Any]] = []
+    try:
+        for setting in settings:
+            if _CONSTANT.fullmatch(setting.key):
+                module, name = _constant(setting)
+                old = getattr(module, name)
+                before.append((module, name, old))
+                setattr(module, name, type(old)(setting.value))
+        yield
+    finally:
+        for module, name, old in reversed(before):
+            setattr(module, name, old)
+
+
+def play_key(script: str, code: str, policy: str, seed: int, settings: Mapping[str, Any]) -> str:
+    """One play's identity: the same key, the same result."""
+    told = msgspec.json.encode(
+        [script, code, policy, seed, sorted((k, repr(v)) for k, v in settings.items())]
+    )
+    return hashlib.sha256(told).hexdigest()[:24]
--- /dev/null
+++ b/heronreel/experiments/scripts.py
@@ -0,0 +1,126 @@
+"""Scripts written anew: of a record, of an incident.
+
+An incident is JSON lines, each with the fields of a trouble, such as `{"at_s": 12.0, "what": "slow",
+"names": ["n7"], "for_s": 9.0, "size": 4.0}`; a line with `"event"` is one of a rehearsal's own timeline, so
+what a play drew by share or chance can be replayed with its targets by name.  Lines without either are passed
+over and counted.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+import tomli_w
+
+from heronreel.emulator import model
+from heronreel.emulator.model import Rehearsal, Trouble
+
+LINES_MOST = 100_000
+FIELDS = {field.name for field in msgspec.structs.fields(Trouble)}
+
+
+class BadIncident(ValueError):
+    """A record that can't be turned into a script; names the line."""
+
+
+def written(rehearsal: Rehearsal) -> str:
+    """The script as TOML: what is set otherwise than by default."""
+    raw = msgspec.to_builtins(rehearsal)
+    told: dict[str, Any] = {"version": 1}
+    default = msgspec.to_builtins(Rehearsal())
+    for name, value in raw.items():
+        if name in ("classes", "tenants", "troubles"):
+            if value:
+                told[name] = [_trimmed(row, name) for row in value]
+        elif name == "fleet":
+            kinds = [_trimmed(kind, "kinds") for kind in value["kinds"]]
+            told[name] = {k: v for k, v in value.items() if k != "kinds"} | {"kinds": kinds}
+        elif value != default.get(name) or name in ("name", "seconds"):
+            told[name] = _part(value, default.get(name))
+    return tomli_w.dumps(told)
+
+
+def _part(value: Any, default: Any) -> Any:
+    if not isinstance(value, dict):
+        return value
+    return {
+        k: list(v) if isinstance(v, tuple) else v for k, v in value.items() if v != (default or {}).get(k)
+    }
+
+
+def _trimmed(row: dict[str, Any], what: str) -> dict[str, Any]:
+    specs: dict[str, type[msgspec.Struct]] = {
+        "classes": model.Class, "tenants": model.Tenant, "troubles": model.Trouble, "kinds": model.Kind,
+    }  # fmt: skip
+    defaults: dict[str, Any] = {}
+    for field in msgspec.structs.fields(specs[what]):
+        if field.default_factory is not msgspec.NODEFAULT:
+            defaults[field.name] = field.default_factory()
+        elif field.default is not msgspec.NODEFAULT:
+            defaults[field.name] = field.default
+    return {k: v for k, v in row.items() if k not in defaults or defaults[k] != v}
+
+
+def of_incident(base: Rehearsal, data: bytes) -> tuple[Rehearsal, int]:
+    """The base's fleet and traffic with the incident's troubles; and how many lines were passed over."""
+    troubles: list[Trouble] = []
+    passed = 0
+    open_: dict[int, int] = {}  # a timeline's trouble: its place here
+    rows = data.splitlines()
+    if len(rows) > LINES_MOST:
+        raise BadIncident(f"has {len(rows):,} lines; at most {LINES_MOST:,} are read")
+    for number, text in enumerate(rows, 1):
+        if not text.strip():
+            continue
+        try:
+            row = msgspec.json.decode(text)
+        except msgspec.DecodeError as error:
+            raise BadIncident(f"line {number}: is no JSON: {error}") from None
+        if not isinstance(row, dict):
+            raise BadIncident(f"line {number}: expected an object")
+        if row.get("event") in ("begins", "ends"):
+            _of_timeline(base, row, troubles, open_, number)
+        elif "what" in row:
+            troubles.append(_of_line(row, number))
+        else:
+            passed += 1
+    if not troubles:
+        raise BadIncident('holds no trouble: no line has "what" or "event"')
+    end = max(trouble.at_s + max(trouble.for_s, trouble.within_s) for trouble in troubles)
+    seconds = max(base.seconds, end + 5.0)
+    name = f"{base.name}, an incident replayed"[:200]
+    return msgspec.structs.replace(base, name=name, seconds=seconds, troubles=tuple(troubles)), passed
+
+
+def _of_line(row: dict[str, Any], number: int) -> Trouble:
+    unknown = sorted(row.keys() - FIELDS)
+    if unknown:
+        raise BadIncident(f"line {number}: no such field of a trouble: {', '.join(unknown)}")
+    try:
+        return msgspec.convert(row, Trouble)
+    except msgspec.ValidationError as error:
+        raise BadIncident(f"line {number}: {error}") from None
+
+
+def _of_timeline(
+    base: Rehearsal, row: dict[str, Any], troubles: list[Trouble], open_: dict[int, int], number: int
+) -> None:
+    """A trouble as it was carried out: the script's own, with the targets that it had."""
+    place = row.get("trouble")
+    if not isinstance(place, int) or not 0 <= place < len(base.troubles):
+        raise BadIncident(f"line {number}: trouble {place!r} is none of the script that it is replayed on")
+    if row["event"] == "begins":
+        trouble = base.troubles[place]
+        names = [name for name in row.get("names", ()) if name[:1] in "np" and name[1:].isdigit()]
+        if names:
+            trouble = msgspec.structs.replace(
+                trouble, names=names, share=0.0, busiest=0, count=0,
+                rack="", zone="" if trouble.what not in ("zone_cut", "shift") else trouble.zone, kind="",
+            )  # fmt: skip
+        open_[place] = len(troubles)
+        troubles.append(msgspec.structs.replace(trouble, at_s=row["at_ms"] / 1000.0))
+    elif place in open_:
+        begun = troubles[open_[place]]
+        lasted = round(row["at_ms"] / 1000.0 - begun.at_s, 6)
+        troubles[open_[place]] = msgspec.structs.replace(begun, for_s=lasted)
--- a/heronreel/routes/reader.py
+++ b/heronreel/routes/reader.py
@@ -157,7 +157,7 @@
 
     def tables(self, raw: object, path: Path, most: int) -> list[tuple[Path, dict[str, Any]]]:
         """An array of tables, with the path of each."""
-        if raw is msgspec.UNSET or raw is None:
+        if raw is msgspec.UNSET or raw is None or raw == ():
             return []
         if not isinstance(raw, list) or not all(isinstance(row, dict) for row in raw):
             self.wrong(
