--- a/bench/agreement.py
+++ b/bench/agreement.py
@@ -15,6 +15,7 @@
 
 import msgspec
 
+from heronreel.emulator.judge import ENDS
 from heronreel.emulator.result import Result
 from heronreel.emulator.world import play
 from heronreel.realtime.engine import play_real
@@ -23,10 +24,11 @@
 
 def told(name: str, result: Result) -> str:
     counts, requests = result.counts, result.counts["requests"]
-    ends = "  ".join(f"{end} {counts[end] / requests:6.1%}" for end in ("served", "late", "refused", "failed", "lost"))
+    ends = "  ".join(f"{end} {counts[end] / requests:6.1%}" for end in ENDS if end != "left")
     spans = "  ".join(f"{p} {result.percentiles[p]:6.0f}" for p in ("p50", "p90", "p99"))
     rules = "kept" if result.kept else str(result.rules)
-    return f"    {name:<8} {ends}  {spans} ms  attempts {result.meter['attempts'] / requests:.2f}  rules {rules}"
+    each = result.meter["attempts"] / requests
+    return f"    {name:<8} {ends}  {spans} ms  attempts {each:.2f}  rules {rules}"
 
 
 def main() -> None:
