--- a/bench/truths.py
+++ b/bench/truths.py
@@ -1,6 +1,6 @@
 """How well the emulator tells the truth: changes whose effect is known, played on days like the operators'.
 
-    .venv-rehearse/bin/python bench/truths.py [--seeds 10] [--workers 8] [--only NAME]
+    .venv-rehearse/bin/python bench/truths.py [--seeds 10] [--workers 8] [--only NAME] [--scarce]
 
 Each change was made in the past and measured on the operators' own days (`docs/ROADMAP.md`, the journal);
 here it is undone and redone, paired by seed.  What counts is the sign, and the order of sizes.
@@ -53,12 +53,16 @@
 }
 
 
-def day(name: str) -> Rehearsal:
-    """40 proxies and 40 nodes: a proxy sees little of any node, as on the days of a large fleet."""
+def day(name: str, scarce: bool) -> Rehearsal:
+    """40 proxies and 40 nodes: a proxy sees little of any node, as on the days of a large fleet.
+
+    `scarce`: 120 proxies, and half as many connections at each node.
+    """
     klass = Class(work_ms=90.0, dist="lognormal", cv=1.1, attempt_noise=0.2)
-    fleet = Fleet(nodes=40, zones=["a", "b"], limited_racks=0.3, kinds=KINDS)
+    kinds = tuple(msgspec.structs.replace(k, connections=52 if scarce else 104) for k in KINDS)
+    fleet = Fleet(nodes=40, zones=["a", "b"], limited_racks=0.3, kinds=kinds)
     base = Rehearsal(
-        name=name, seconds=SECONDS, fleet=fleet, proxies=Proxies(count=40, skew=0.3),
+        name=name, seconds=SECONDS, fleet=fleet, proxies=Proxies(count=120 if scarce else 40, skew=0.3),
         classes=(klass,),
         prices=Prices(handshake=0.03, connection=0.03, cross_zone=0.03, late_failure=0.03, waste=0.02),
         troubles=DAYS[name],
@@ -109,11 +113,11 @@
     return AlikeCold(settings, seed)
 
 
-def one(name: str, seed: int, told: tuple[tuple[str, object], ...]) -> dict[str, Any]:
+def one(name: str, seed: int, told: tuple[tuple[str, object], ...], scarce: bool) -> dict[str, Any]:
     settings = tuple(Setting(key, value) for key, value in told if key != "alike")
     with constants(settings):
         made = alike if ("alike", 1) in told else None
-        result = World(changed(day(name), settings), seed, deciders=made).run()
+        result = World(changed(day(name, scarce), settings), seed, deciders=made).run()
     return {"script": name, **result.row()}
 
 
@@ -127,11 +131,12 @@
     parser.add_argument("--seeds", type=int, default=10)
     parser.add_argument("--workers", type=int, default=len(os.sched_getaffinity(0)))
     parser.add_argument("--only", choices=list(CHANGES))
+    parser.add_argument("--scarce", action="store_true", help="120 proxies, 52 connections a node")
     told = parser.parse_args()
     seeds = range(1, told.seeds + 1)
     with ProcessPoolExecutor(told.workers, mp_context=multiprocessing.get_context("spawn")) as pool:
         plays = {
-            (name, place, side): [pool.submit(one, place, seed, settings) for seed in seeds]
+            (name, place, side): [pool.submit(one, place, seed, settings, told.scarce) for seed in seeds]
             for name, change in CHANGES.items() if not told.only or name == told.only
             for place in change.days
             for side, settings in (("before", change.before), ("after", change.after))
