Overlapping troubles, a bound on real traffic, and the front that waits for a proxy

Seen in a reading of the change: of two `silent` troubles on one node the shorter ended both, and overlapping `heavy` ones were restored in the wrong order, though the module says that the order of ending does not matter (troubles.py, `_silent`, `_heavy`); the bound on requests over real sockets was reckoned from the steady rate alone, so bursts went past it (engine.play_real); a restarted real proxy was dealt clients before it answered for its health (world.start_proxy). Changed: silent troubles are counted and outlast a node's process, heavy ones are kept in a list, the engine stops asking at its bound, and a proxy enters the front when its process is up, in both engines. The front's mend has no test of its own.

--- a/heronreel/emulator/clients.py
+++ b/heronreel/emulator/clients.py
@@ -80,7 +80,7 @@
         self.zone_sums: list[float] = []
         self.reweigh()
         self.factor = 1.0  # of bursts
-        self.heavy: tuple[float, float] = (0.0, 1.0)  # share of requests, times their work
+        self.heavies: list[tuple[float, float]] = [(0.0, 1.0)]  # share, times the work; the last counts
         keys = rehearsal.keys
         ranks = np.arange(1, max(1, keys.count) + 1, dtype=float) ** -keys.zipf
         self.key_sums: list[float] = np.cumsum(ranks / ranks.sum()).tolist()
@@ -152,7 +152,7 @@
         zone = self._zone(draw)
         key = bisect_right(self.key_sums, draw.uniform())
         work = self.drawers[place](draw)
-        heavy, times = self.heavy
+        heavy, times = self.heavies[-1]
         if draw.uniform() < heavy:
             work *= times
         line = world.judge.due(number, now, place, tenant, klass.worth, work)
--- a/heronreel/emulator/node.py
+++ b/heronreel/emulator/node.py
@@ -123,7 +123,8 @@
         self.neighbour = 0.0  # share of the machine that another program takes
         self.errors = kind.error_rate
         self.loses = self.resets = 0.0  # shares of answers lost, and of requests reset
-        self.silent = self.down = self.drains = self.fell = False
+        self.silent = 0  # troubles that keep it from saying anything; they outlast its process
+        self.down = self.drains = self.fell = False
         self.paused_until = 0.0
         self.pressure: Pressure | None = None
         self.worked = 0.0  # ms of work done
@@ -256,6 +257,6 @@
         self.cold = cold and self.kind.cold_from < 1.0
         self.pressure = pressure if self.cold else None
         self.clock = self.worked = 0.0
-        self.down = self.fell = self.drains = self.silent = False
+        self.down = self.fell = self.drains = False
         self.paused_until = 0.0
         self.epoch += 1
--- a/heronreel/emulator/proxies.py
+++ b/heronreel/emulator/proxies.py
@@ -86,6 +86,7 @@
         self.alive, self.draining = True, False
         self.decider = world.make(self.settings, self.seeds.seed())
         self._started()
+        world.front.change(self, True)
         lines = [self._info(entry) for entry in self.known.values()]
         self.tell(api.BackendList(api.ListKind.CACHED, lines))
         world.events.at(now + SWEEP_MS, self._sweep_on, self.process)
--- a/heronreel/emulator/troubles.py
+++ b/heronreel/emulator/troubles.py
@@ -131,7 +131,7 @@
 
     def _silent(self, trouble: Trouble, draw: Stream) -> Begun:
         def change(node: Node, on: bool) -> None:
-            node.silent = on
+            node.silent += 1 if on else -1
 
         return self._each(self._nodes(trouble, draw), change)
 
@@ -213,13 +213,9 @@
 
     def _heavy(self, trouble: Trouble, draw: Stream) -> Begun:
         """A share of the requests costs `size` times as much."""
-        clients, before = self.world.clients, self.world.clients.heavy
-        clients.heavy = (trouble.share, trouble.size)
-
-        def end() -> None:
-            clients.heavy = before
-
-        return [], [end]
+        heavies, one = self.world.clients.heavies, (trouble.share, trouble.size)
+        heavies.append(one)
+        return [], [lambda: heavies.remove(one)]
 
     def _shift(self, trouble: Trouble, draw: Stream) -> Begun:
         """One zone's part of the traffic, `size` times as large."""
--- a/heronreel/emulator/world.py
+++ b/heronreel/emulator/world.py
@@ -286,10 +286,6 @@
 
     # Proxies.
 
-    def start_proxy(self, proxy: Proxy) -> None:
-        proxy.start()
-        self.front.change(proxy, True)
-
     def term_proxy(self, proxy: Proxy) -> None:
         if proxy.alive and not proxy.draining:
             proxy.term(self.rehearsal.proxies.term_ms)
@@ -300,7 +296,7 @@
         now = self.events.now
         self.happened(now, "ended", -1, "proxy", [proxy.name])
         self.events.at(now + self.rehearsal.front.notice_ms, self._noticed, proxy, proxy.process)
-        self.events.at(now + self.rehearsal.proxies.restart_ms, self.start_proxy, proxy)
+        self.events.at(now + self.rehearsal.proxies.restart_ms, proxy.start)
 
     def _noticed(self, proxy: Proxy, process: int) -> None:
         if proxy.process == process and not proxy.alive:
--- a/heronreel/realtime/engine.py
+++ b/heronreel/realtime/engine.py
@@ -36,6 +36,7 @@
         self.servers: dict[int, Server] = {}
         self.crashes: list[str] = []  # processes that ended by themselves
         self.over = False
+        self.requests = 0  # sent to proxies
 
     def spawn(self, work: Coroutine[Any, Any, Any]) -> None:
         task = self.loop.create_task(work)
@@ -47,6 +48,13 @@
         if not task.cancelled() and task.exception() is not None and not self.over:
             self.crashes.append(f"{task.exception()!r}")
 
+    def count(self) -> None:
+        """Traffic has a bound whatever bursts, shapes and retries make of it: no more is asked beyond it."""
+        self.requests += 1
+        if self.requests == REQUESTS_MOST:
+            self.crashes.append(f"stopped asking at {REQUESTS_MOST:,} requests")
+            self.world.clients.until = self.clock.now
+
     def _listen(self, node: Node) -> None:
         if node.ident in self.servers:
             self.servers[node.ident].listen()
--- a/heronreel/realtime/proxies.py
+++ b/heronreel/realtime/proxies.py
@@ -289,6 +289,7 @@
 
     def arrive(self, ask: Ask, left_ms: float) -> None:
         self._take(ask)
+        self.engine.count()
         self.engine.asks[b"%016x" % ask.ident] = ask
         self.engine.spawn(self._carry(ask, left_ms))
 
--- a/tests/test_emulator_scripts.py
+++ b/tests/test_emulator_scripts.py
@@ -293,3 +293,31 @@
     with pytest.raises(KeyError):
         make("none", World(rehearsal(), 1).proxies[0].settings, 1)
     assert Proxies().policy == "heronreel"
+
+
+def test_troubles_of_one_kind_overlap_and_end_in_any_order() -> None:
+    """The longer one goes on when the shorter one ends, and nothing is left when both have."""
+    names = ["n1", "n2"]
+    pairs = [
+        Trouble(what=what, at_s=at, for_s=lasts, **more)  # type: ignore[arg-type]
+        for what, more in (
+            ("silent", {"names": names}), ("slow", {"names": names, "size": 3.0}),
+            ("errors", {"names": names, "size": 0.2}), ("heavy", {"share": 0.1, "size": 5.0}),
+            ("burst", {"size": 2.0}), ("list_refuses", {}),
+        )
+        for at, lasts in ((1.0, 3.0), (2.0, 1.0))
+    ]  # fmt: skip
+    world = World(rehearsal(seconds=6.0, load=0.3, kind=KIND, troubles=tuple(pairs)), 20)
+    seen: dict[float, list[object]] = {}
+
+    def look() -> None:
+        node, clients = world.by_ident[world.fleet.nodes[0].ident], world.clients
+        state = [bool(node.silent), node.slow, round(node.errors, 6), clients.heavies[-1], clients.factor]
+        seen[world.events.now] = [*state, world.lists.refuses]
+
+    for at in (500.0, 1500.0, 2500.0, 3500.0, 5000.0):
+        world.events.at(at, look)
+    world.run()
+    calm, one = [False, 1.0, 0.0, (0.0, 1.0), 1.0, False], [True, 3.0, 0.2, (0.1, 5.0), 2.0, True]
+    assert seen[500.0] == seen[5000.0] == calm and seen[1500.0] == seen[3500.0] == one
+    assert seen[2500.0] == [True, 9.0, 0.4, (0.1, 5.0), 4.0, True]
--- a/tests/test_realtime.py
+++ b/tests/test_realtime.py
@@ -14,6 +14,7 @@
 from heronreel.emulator.model import Class, Proxies, Rehearsal, Trouble
 from heronreel.emulator.result import Result
 from heronreel.emulator.world import play
+from heronreel.realtime import engine
 from heronreel.realtime.engine import NotPlayable, play_real
 from tests.rehearsing import rehearsal
 
@@ -75,3 +76,11 @@
     for changes, words in cases:
         with pytest.raises(NotPlayable, match=words):
             play_real(msgspec.structs.replace(large, **changes), 1)
+
+
+def test_bursts_do_not_carry_the_traffic_over_its_bound(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(engine, "REQUESTS_MOST", 120)
+    told = rehearsal(4, 2, 0.1, 4.0, troubles=(Trouble(what="burst", at_s=0.1, for_s=3.5, size=6.0),))
+    result, crashes = play_real(told, 6)
+    assert crashes == ["stopped asking at 120 requests"] and result.counts["requests"] <= 130
+    assert result.kept and result.counts["lost"] == 0
