Overlapping heavy troubles end in the order that shows, and what is left named

A list popped from its end passed the overlap test, since both troubles were alike and the newer ended first.

--- a/tests/test_emulator_scripts.py
+++ b/tests/test_emulator_scripts.py
@@ -302,11 +302,13 @@
         Trouble(what=what, at_s=at, for_s=lasts, **more)  # type: ignore[arg-type]
         for what, more in (
             ("silent", {"names": names}), ("slow", {"names": names, "size": 3.0}),
-            ("errors", {"names": names, "size": 0.2}), ("heavy", {"share": 0.1, "size": 5.0}),
-            ("burst", {"size": 2.0}), ("list_refuses", {}),
+            ("errors", {"names": names, "size": 0.2}), ("burst", {"size": 2.0}), ("list_refuses", {}),
         )
         for at, lasts in ((1.0, 3.0), (2.0, 1.0))
     ]  # fmt: skip
+    # of heavy requests the newest trouble counts, and here the first begun is the first to end
+    pairs.append(Trouble(what="heavy", at_s=1.0, for_s=2.0, share=0.1, size=5.0))
+    pairs.append(Trouble(what="heavy", at_s=2.0, for_s=2.0, share=0.2, size=7.0))
     world = World(rehearsal(seconds=6.0, load=0.3, kind=KIND, troubles=tuple(pairs)), 20)
     seen: dict[float, list[object]] = {}
 
@@ -319,5 +321,6 @@
         world.events.at(at, look)
     world.run()
     calm, one = [False, 1.0, 0.0, (0.0, 1.0), 1.0, False], [True, 3.0, 0.2, (0.1, 5.0), 2.0, True]
-    assert seen[500.0] == seen[5000.0] == calm and seen[1500.0] == seen[3500.0] == one
-    assert seen[2500.0] == [True, 9.0, 0.4, (0.1, 5.0), 4.0, True]
+    assert seen[500.0] == seen[5000.0] == calm and seen[1500.0] == one
+    assert seen[2500.0] == [True, 9.0, 0.4, (0.2, 7.0), 4.0, True]
+    assert seen[3500.0] == [True, 3.0, 0.2, (0.2, 7.0), 2.0, True]
