--- /dev/null
+++ b/bench/leases.py
@@ -0,0 +1,122 @@
+"""What a group costs and how fast it gives on: renewals and writes a second, time to take over, memory.
+
+    python bench/leases.py [HOLDERS]
+
+Times hold for this machine and this run; what compares is the ratio between rows.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import statistics
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+
+from heronreel.coordination.client import Client
+from heronreel.coordination.holder import Terms
+from heronreel.coordination.holding import Holding
+from heronreel.coordination.model import Grant, KeepAlive, LeaseDone, Put, Refused
+from heronreel.faults.processes import Harness
+
+SECONDS = 3.0
+
+
+async def rate(client: Client, leases: list[int], writes: bool) -> float:
+    """Calls a second by as many callers as there are leases, up to 64."""
+    loop = asyncio.get_running_loop()
+    until = loop.time() + SECONDS
+    done = 0
+
+    async def caller(number: int) -> None:
+        nonlocal done
+        while loop.time() < until:
+            lease = leases[number % len(leases)]
+            request = Put(b"k%d" % number, b"v" * 100) if writes else KeepAlive(lease)
+            await client.ask(request, 10.0)
+            number += 64
+            done += 1
+
+    await asyncio.gather(*(caller(number) for number in range(min(64, len(leases)))))
+    return done / SECONDS
+
+
+def resident(pid: int) -> float:
+    """Megabytes."""
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) / 1024
+    return 0.0
+
+
+async def take_over(harness: Harness, client: Client, cut: bool) -> float:
+    """Seconds from a leader's end until the next write is agreed on."""
+    await harness.whole()
+    leader = await harness.leader()
+    if cut:
+        harness.cut(leader)
+    else:
+        await harness.members[leader].kill()
+    away = [harness.front[name].address for name in harness.names if name != leader]
+    began = time.perf_counter()
+    async with Client(away, answer_s=0.2) as rest:
+        while True:
+            try:
+                await rest.ask(Put(b"over", b""), 0.3)
+                break
+            except Refused:
+                continue
+    took = time.perf_counter() - began
+    if cut:
+        harness.cut(leader, on=False)
+    else:
+        await harness.start(leader)
+    return took
+
+
+async def main(holders: int = 200) -> None:
+    for count in (1, 3, 5):
+        names = "abcde"[:count]
+        with tempfile.TemporaryDirectory() as folder:
+            async with Harness(Path(folder), names, 1) as harness, Client(harness.addresses) as client:
+                await harness.serves()
+                leases = []
+                for _ in range(holders):
+                    granted = await client.ask(Grant(600), 10.0)
+                    assert isinstance(granted, LeaseDone)
+                    leases.append(granted.id)
+                renewals = await rate(client, leases, writes=False)
+                writes = await rate(client, leases, writes=True)
+                leader = harness.members[await harness.leader()]
+                memory = resident(leader.process.pid)
+                kills, cuts = [0.0], [0.0]
+                if count > 1:
+                    kills = [await take_over(harness, client, cut=False) for _ in range(7)]
+                    cuts = [await take_over(harness, client, cut=True) for _ in range(7)]
+                handed = await hand_over(harness)
+        print(
+            f"{count} members, {holders} leases: {renewals:6.0f} renewals/s, {writes:6.0f} writes/s, "
+            f"{memory:.0f} MB; after a kill {statistics.median(kills):.2f} s (worst {max(kills):.2f}), "
+            f"after a cut {statistics.median(cuts):.2f} s (worst {max(cuts):.2f}); "
+            f"a task given back is held again after {handed:.2f} s",
+            flush=True,
+        )
+
+
+async def hand_over(harness: Harness) -> float:
+    """Seconds from an orderly end until the next holder has the task."""
+    terms = Terms(ttl=3, margin=0.4, answer=0.5)
+    async with Holding(harness.addresses, "two", terms) as second:
+        async with Holding(harness.addresses, "one", terms) as first:
+            await first.held(first.claim("task"))
+            claim = second.claim("task")
+        began = time.perf_counter()
+        await second.held(claim)
+        return time.perf_counter() - began
+
+
+if __name__ == "__main__":
+    asyncio.run(main(*map(int, sys.argv[1:])))
--- /dev/null
+++ b/heronreel/coordination/client.py
@@ -0,0 +1,151 @@
+"""The way to a group from another process: any member, one after the other, within a time.
+
+An answer that is a refusal to begin (503, a connection refused) is looked for at the next member.  Where a
+request may have been begun, only one that may be done twice is asked again; any other is `Refused` with a
+code whose `maybe` says that nobody knows.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import AsyncIterator, Iterable
+from types import TracebackType
+from typing import NamedTuple
+
+import aiohttp
+
+from heronreel.coordination import gateway
+from heronreel.coordination.model import (
+    Event,
+    Failure,
+    KeepAlive,
+    Leases,
+    Range,
+    Refused,
+    Request,
+    Result,
+    TimeToLive,
+)
+
+ANSWER_MOST = 32 << 20  # bytes
+PAUSE_S = 0.05
+_REPEATABLE = (Range, KeepAlive, TimeToLive, Leases)
+
+
+class Changes(NamedTuple):
+    """What a watch tells: events up to a revision; or, with `missed`, that some are not kept any more, and
+    that all has to be read anew.
+    """
+
+    revision: int
+    events: tuple[Event, ...]
+    missed: bool = False
+
+
+class Client:
+    """Asks a group.  Of one event loop; one connection a call under way, kept for the next."""
+
+    def __init__(self, addresses: Iterable[str], *, answer_s: float = 1.0) -> None:
+        """`addresses` as "127.0.0.1:9001"; `answer_s` is how long one member may take."""
+        self.addresses = list(addresses)
+        self.answer_s = answer_s
+        self.first = 0  # the member that answered last
+        timeout = aiohttp.ClientTimeout(total=None, connect=0.5)
+        connector = aiohttp.TCPConnector(limit=0, limit_per_host=64)
+        self.session = aiohttp.ClientSession(timeout=timeout, connector=connector)
+
+    async def __aenter__(self) -> Client:
+        return self
+
+    async def __aexit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        await self.close()
+
+    async def close(self) -> None:
+        await self.session.close()
+
+    async def ask(self, request: Request, seconds: float = 3.0) -> Result:
+        """What the group answers within `seconds`.  Raises Refused."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + seconds
+        refused = Refused(Failure.UNAVAILABLE, "no member answers")
+        tried = 0
+        while (left := until - loop.time()) > 0:
+            address = self.addresses[self.first % len(self.addresses)]
+            try:
+                return await self._ask(address, request, min(left, self.answer_s))
+            except Refused as error:
+                self.first += 1
+                if error.code is not Failure.UNAVAILABLE and not error.maybe:
+                    self.first -= 1
+                    raise
+                if error.maybe and not isinstance(request, _REPEATABLE):
+                    raise
+                refused = error
+            tried += 1
+            if tried % len(self.addresses) == 0:
+                await asyncio.sleep(min(PAUSE_S, max(0.0, until - loop.time())))
+        raise refused
+
+    async def _ask(self, address: str, request: Request, seconds: float) -> Result:
+        url = f"http://{address}{gateway.path_of(request)}"
+        try:
+            async with asyncio.timeout(seconds), self.session.post(
+                url, json=gateway.body_of(request)
+            ) as response:
+                data = await response.read()
+                status = response.status
+        except aiohttp.ClientConnectorError as error:
+            raise Refused(Failure.UNAVAILABLE, f"{address}: {error.strerror or error}") from None
+        except TimeoutError:
+            raise Refused(Failure.TOO_LATE, f"{address}: no answer within {seconds:.2f} s") from None
+        except (aiohttp.ClientError, OSError) as error:
+            raise Refused(Failure.UNKNOWN, f"{address}: {error}") from None
+        try:
+            raw = json.loads(data)
+            if status != 200:
+                raise gateway.refused_of(status, raw)
+            return gateway.result_of(request, raw)
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            if status != 200:
+                raise gateway.refused_of(status, None) from None
+            raise Refused(Failure.UNKNOWN, f"{address}: an answer that is none: {error!r}") from None
+
+    async def watch(self, key: bytes, end: bytes = b"", start: int = 0) -> AsyncIterator[Changes]:
+        """Changes of a range from the revision `start`, or from now on, for as long as it is iterated over.
+
+        A member that ends is followed by the next, from the revision reached.  Raises Refused with
+        UNAVAILABLE where no member answers for `answer_s`, three times in a row.
+        """
+        body = {"create_request": {"key": gateway.base64_of(key), "range_end": gateway.base64_of(end)}}
+        failures = 0
+        while True:
+            body["create_request"]["start_revision"] = str(start)
+            address = self.addresses[self.first % len(self.addresses)]
+            url = f"http://{address}{gateway.WATCH}"
+            try:
+                async with self.session.post(url, json=body) as response:
+                    if response.status == 200:
+                        async for line in response.content:
+                            failures = 0
+                            raw = json.loads(line)["result"]
+                            if raw.get("canceled"):
+                                start = int(raw["header"]["revision"]) + 1
+                                yield Changes(start - 1, (), missed=True)
+                                break
+                            revision, events = gateway.events_told(raw)
+                            # the next member goes on behind what was told here: past events of a watch that
+                            # began earlier come after its first line
+                            if events or not start:
+                                start = revision + 1
+                            if events or raw.get("created"):
+                                yield Changes(revision, events)
+            except (aiohttp.ClientError, TimeoutError, OSError, ValueError, KeyError):
+                pass
+            failures += 1
+            if failures > 3 * len(self.addresses):
+                raise Refused(Failure.UNAVAILABLE, "no member answers")
+            self.first += 1
+            await asyncio.sleep(PAUSE_S * failures)
--- /dev/null
+++ b/heronreel/coordination/overview.py
@@ -0,0 +1,123 @@
+"""What operators see and do: who holds what, who is present, and taking a task away."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from heronreel.coordination.client import Client
+from heronreel.coordination.holding import HELD, PRESENT
+from heronreel.coordination.model import (
+    Compare,
+    DeleteRange,
+    LeaseDone,
+    Put,
+    Range,
+    RangeDone,
+    Relation,
+    Target,
+    TimeToLive,
+    Txn,
+    TxnDone,
+)
+from heronreel.coordination.tasks import CURSOR, decoded, encoded, given_back
+
+TAKEN = b"taken/"  # the greatest number that was taken away by hand, by task
+
+
+def after(prefix: bytes) -> bytes:
+    """The end of the range of keys that begin with `prefix`."""
+    return prefix[:-1] + bytes([prefix[-1] + 1])
+
+
+async def overview(client: Client) -> dict[str, list[dict[str, Any]]]:
+    """Rows for people and programs.  Raises Refused."""
+    held = await _rows(client, HELD)
+    present = await _rows(client, PRESENT)
+    left: dict[int, int | None] = {}
+    for _, record in (*held.records, *present.records):
+        if record.lease and record.lease not in left:
+            told = await client.ask(TimeToLive(record.lease))
+            assert isinstance(told, LeaseDone)
+            left[record.lease] = told.ttl if told.ttl >= 0 else None
+    return {
+        "held": [
+            {
+                "task": _text(key[len(HELD) :]), "by": _text(record.value), "number": record.create,
+                "lease": str(record.lease), "left_s": left.get(record.lease),
+            }
+            for key, record in held.records
+        ],
+        "present": [
+            {
+                "name": _text(key[len(PRESENT) :]), "what": _text(record.value), "since": record.create,
+                "lease": str(record.lease), "left_s": left.get(record.lease),
+            }
+            for key, record in present.records
+        ],
+    }  # fmt: skip
+
+
+async def tasks(client: Client) -> list[dict[str, Any]]:
+    """Where each task is, and who has it.  Raises Refused."""
+    found = await _rows(client, CURSOR)
+    held = {key[len(HELD) :]: record for key, record in (await _rows(client, HELD)).records}
+    rows = []
+    for key, record in found.records:
+        name = key[len(CURSOR) :]
+        cursor = decoded(record.value)
+        holder = held.get(name)
+        rows.append({
+            "task": _text(name), "confirmed": cursor.step, "begun": cursor.begun or None,
+            "tries": cursor.tries,
+            "set_aside": cursor.aside, "last_by": cursor.by, "last_number": cursor.number,
+            "held_by": _text(holder.value) if holder else None,
+        })  # fmt: skip
+    return rows
+
+
+async def again(client: Client, task: str) -> bool:
+    """Have a task that was set aside tried anew; False if it is not set aside.  Raises Refused."""
+    key = CURSOR + task.encode()
+    for _ in range(5):
+        found = await client.ask(Range(key))
+        assert isinstance(found, RangeDone)
+        if not found.records or not (cursor := decoded(found.records[0][1].value)).aside:
+            return False
+        same = Compare(key, Target.MOD, Relation.EQUAL, found.records[0][1].mod)
+        done = await client.ask(Txn((same,), (Put(key, encoded(given_back(cursor))),)))
+        assert isinstance(done, TxnDone)
+        if done.succeeded:
+            return True
+    return False
+
+
+async def _rows(client: Client, prefix: bytes) -> RangeDone:
+    found = await client.ask(Range(prefix, after(prefix)))
+    assert isinstance(found, RangeDone)
+    return found
+
+
+def _text(data: bytes) -> str:
+    return data.decode(errors="replace")
+
+
+async def take_away(client: Client, task: str) -> int | None:
+    """End a holder's claim; the number that is refused from now on, or None if nobody held it.
+
+    The next grant has a greater number, and whoever takes it enters the places before acting: the old holder
+    may go on until it looks again, or until then.  Raises Refused.
+    """
+    key = HELD + task.encode()
+    for _ in range(5):
+        found = await client.ask(Range(key))
+        assert isinstance(found, RangeDone)
+        if not found.records:
+            return None
+        number = found.records[0][1].create
+        same = Compare(key, Target.CREATE, Relation.EQUAL, number)
+        mark = Put(TAKEN + task.encode(), str(number).encode())
+        done = await client.ask(Txn((same,), (DeleteRange(key), mark)))
+        assert isinstance(done, TxnDone)
+        if done.succeeded:
+            return number
+    return None
--- /dev/null
+++ b/heronreel/coordination/process.py
@@ -0,0 +1,541 @@
+"""The process of one member: sockets, the disk and the clock around `Service`.
+
+One address serves clients (the gateway's paths) and the other members (`/member`).  A member that does not
+lead passes what clients ask to the one that does; one that knows none says 503 at once.  Whatever peers do
+is bounded: in bytes, in time, in number.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import json
+import random
+import secrets
+import signal
+import socket
+import zlib
+from collections import deque
+from collections.abc import Awaitable, Callable
+
+import aiohttp
+import msgspec
+import structlog
+from aiohttp import web
+
+from heronreel.coordination import gateway
+from heronreel.coordination.clock import Points, clock
+from heronreel.coordination.disk import Disk
+from heronreel.coordination.holder import HELD_PREFIX
+from heronreel.coordination.member import (
+    Accept,
+    Any,
+    Deposed,
+    Elected,
+    Member,
+    Persist,
+    Send,
+    Wipe,
+)
+from heronreel.coordination.model import Answer, Failure, Refused, Request, Result
+from heronreel.coordination.service import Answered, Expired, Outputs, Service, Told
+from heronreel.coordination.settings import Group, Row, addresses_of
+from heronreel.store import StoreError, WriteFailed
+
+CALL_MOST = 1 << 20  # bytes of a client's call
+MEMBER_MOST = 24 << 20  # bytes of one call between members: a whole state and what goes with it
+CONNECTIONS_MOST = 4096
+IDLE_S = 30.0  # a connection without a call under way
+BODY_S = 5.0  # for a call's body
+QUEUE_BYTES = 16 << 20
+QUEUE_MOST = 256  # messages that wait for one member
+WATCH_MOST = 1000  # batches of events that wait for one watcher
+VIA = "X-Heronreel-Via"
+HELD = HELD_PREFIX  # a line is logged for each change of these
+
+log = structlog.get_logger()
+_messages = msgspec.msgpack.Decoder(list[Any])
+_encode = msgspec.msgpack.Encoder().encode
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+class Link:
+    """The way to one other member: what waits goes with the next call, and what can't go is dropped, since
+    whoever needs an answer asks again.
+    """
+
+    def __init__(self, node: Node, row: Row) -> None:
+        self.node = node
+        self.url = f"http://{row.address}/member"
+        self.base = f"http://{row.address}"
+        self.queue: deque[Any] = deque(maxlen=QUEUE_MOST)
+        self.size = 0  # bytes of the rounds that wait
+        self.fresh = asyncio.Event()
+        self.task = asyncio.ensure_future(self._run())
+
+    def send(self, message: Any) -> None:
+        if isinstance(message, Accept):
+            if self.queue and self.queue[-1] == message:
+                return  # said again, before it went
+            self.size += sum(len(data or b"") for _, data in message.writes)
+        if self.size > QUEUE_BYTES:  # who is that far behind gets the whole state once it answers
+            self.queue.clear()
+            self.size = 0
+        self.queue.append(message)
+        self.fresh.set()
+
+    async def _run(self) -> None:
+        while True:
+            await self.fresh.wait()
+            self.fresh.clear()
+            messages = list(self.queue)
+            self.queue.clear()
+            self.size = 0
+            self.node.points.reach("send")
+            try:
+                async with self.node.session.post(self.url, data=_encode(messages)) as response:
+                    await response.read()
+            except (aiohttp.ClientError, TimeoutError, OSError):
+                await asyncio.sleep(0.02)  # a member that is gone is not asked in a circle
+            self.node.points.reach("sent")
+
+
+class Node:
+    """One member at work."""
+
+    def __init__(self, group: Group, name: str, disk: Disk) -> None:
+        self.group = group
+        self.name = name
+        self.disk = disk
+        self.clock = clock()
+        self.points = Points()
+        self.random = random.Random(secrets.randbits(64))
+        self.links: dict[str, Link] = {}
+        self.tickets = 0
+        self.waiting: dict[int, asyncio.Future[Answer]] = {}
+        self.watchers: dict[int, asyncio.Queue[Told]] = {}
+        self.log_watch = 0
+        self.to_keep: list[Persist] = []
+        self.keeping: asyncio.Task[None] | None = None
+        self.wiping = False
+        self.timer: asyncio.TimerHandle | None = None
+        self.over: asyncio.Future[int] = asyncio.get_running_loop().create_future()
+        self.ending = False
+        self.service = self._begin()
+
+    def _begin(self) -> Service:
+        """The core, from what the disk holds."""
+        member = Member(
+            self.name,
+            (row.name for row in self.group.members),
+            self.disk.durable,
+            self.clock(),
+            timing=self.group.timing,
+            jitter=self.random.random,
+        )
+        return Service(member, drift=self.group.table.clock_drift)
+
+    async def start(self) -> None:
+        timeout = aiohttp.ClientTimeout(total=1.0, connect=0.5)
+        self.session = aiohttp.ClientSession(timeout=timeout, headers={"Content-Type": "application/msgpack"})
+        self.forwards = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=None, connect=0.5))
+        self.links = {row.name: Link(self, row) for row in self.group.members if row.name != self.name}
+        self.event(self.service.tick)
+
+    async def stop(self) -> None:
+        """Answer nobody any more, and close the disk."""
+        self.ending = True
+        if self.timer is not None:
+            self.timer.cancel()
+        for future in self.waiting.values():
+            if not future.done():
+                future.set_result(Refused(Failure.UNKNOWN, "etcdserver: server stopped"))
+        for queue in self.watchers.values():
+            queue.put_nowait(Told(0, 0, (), ended=True))
+        for link in self.links.values():
+            link.task.cancel()
+        if self.keeping is not None:
+            await asyncio.wait([self.keeping])
+        await self.session.close()
+        await self.forwards.close()
+        await asyncio.to_thread(self.disk.close)
+
+    # -- the core's events and actions
+
+    def event(self, call: Callable[[float], Outputs]) -> None:
+        """One event, what it comes to, and the next time to look."""
+        if self.ending:
+            return
+        self.carry_out(call(self.clock()))
+        if self.timer is not None:
+            self.timer.cancel()
+        delay = max(0.001, self.service.wake() - self.clock())
+        self.timer = asyncio.get_running_loop().call_later(min(delay, 1.0), self.event, self.service.tick)
+
+    def carry_out(self, outputs: Outputs) -> None:
+        for output in outputs:
+            if isinstance(output, Send):
+                self.links[output.to].send(output.message)
+            elif isinstance(output, Persist):
+                self.to_keep.append(output)
+                self._keep_soon()
+            elif isinstance(output, Answered):
+                future = self.waiting.pop(output.ticket, None)
+                if future is not None and not future.done():
+                    future.set_result(output.answer)
+            elif isinstance(output, Told):
+                self._tell(output)
+            elif isinstance(output, Elected):
+                log.info("leads", member=self.name, round=output.ballot.round)
+                self.points.reach("elected")
+                self._watch_claims()
+            elif isinstance(output, Deposed):
+                log.info("leads no more", member=self.name)
+            elif isinstance(output, Expired):
+                log.info("lease ended", member=self.name, lease=str(output.lease))
+            elif isinstance(output, Wipe):
+                log.warning("disk set back", member=self.name, why=output.why)
+                self.wiping = True
+                self._keep_soon()
+
+    def _keep_soon(self) -> None:
+        if self.keeping is None:
+            self.keeping = asyncio.ensure_future(self._keep())
+
+    async def _keep(self) -> None:
+        """Write what waits for the disk, and go on with what waited for that.  The one place where the disk
+        is touched, and where the core is begun anew, so that the two never tell different stories.
+        """
+        while self.to_keep or self.wiping:
+            persists, self.to_keep = self.to_keep, []
+            self.points.reach("write")
+            try:
+                if self.wiping:
+                    await asyncio.to_thread(self.disk.wipe)
+                else:
+                    await asyncio.to_thread(self.disk.keep, persists)
+            except (StoreError, OSError) as error:
+                log.error("disk refuses", member=self.name, error=str(error))
+                if not isinstance(error, WriteFailed) or error.final:
+                    self._over(74)
+                    return
+                await asyncio.sleep(0.1)
+                self._restart()
+                continue
+            self.points.reach("written")
+            if self.wiping:
+                self.wiping = False
+                self._restart()
+                continue
+            for persist in persists:
+                for send in persist.then:
+                    self.links[send.to].send(send.message)
+                self.event(functools.partial(self._persisted, persist.number))
+        self.keeping = None
+
+    def _persisted(self, number: int, now: float) -> Outputs:
+        return self.service.settle(now, self.service.member.persisted(now, number))
+
+    def _restart(self) -> None:
+        """Begin again from the disk, as after a crash: what was not durable is forgotten."""
+        outputs = self.service.end()
+        self.to_keep.clear()
+        self.service = self._begin()
+        self.carry_out(outputs)
+
+    def _over(self, code: int) -> None:
+        if not self.over.done():
+            self.over.set_result(code)
+
+    def _watch_claims(self) -> None:
+        """Log each change of a holder, as the leader sees it."""
+        self.tickets += 1
+        self.log_watch = self.tickets
+        self.carry_out(self.service.watch(self.clock(), self.log_watch, HELD, HELD[:-1] + b"0", 0))
+
+    def _tell(self, told: Told) -> None:
+        if told.watch == self.log_watch:
+            for event in told.events:
+                task = event.key[len(HELD) :].decode(errors="replace")
+                if event.record is None:
+                    log.info("held by none", member=self.name, task=task, revision=event.revision)
+                else:
+                    holder = event.record.value.decode(errors="replace")[:200]
+                    log.info("held", member=self.name, task=task, by=holder, number=event.record.create)
+            return
+        queue = self.watchers.get(told.watch)
+        if queue is None:
+            return
+        if queue.qsize() >= WATCH_MOST:  # it does not read: it is told that it missed some
+            self.service.unwatch(told.watch)
+            del self.watchers[told.watch]
+            queue.put_nowait(Told(told.watch, told.revision, (), compacted=told.revision))
+            return
+        queue.put_nowait(told)
+
+    # -- clients
+
+    def header(self) -> gateway.Header:
+        member = self.service.member
+        return gateway.Header(_number(member.group), _number(self.name), member.ballot.round)
+
+    async def ask(self, request: Request) -> Result:
+        """What the group answers.  Raises Refused."""
+        self.tickets += 1
+        ticket = self.tickets
+        future: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+        self.waiting[ticket] = future
+        seconds = self.group.table.request_ms / 1000
+        until = self.clock() + seconds
+        self.event(lambda now: self.service.ask(now, ticket, request, until))
+        try:
+            async with asyncio.timeout(seconds):
+                answer = await future
+        except TimeoutError:
+            raise Refused(Failure.TOO_LATE, "etcdserver: request timed out") from None
+        finally:
+            self.waiting.pop(ticket, None)
+        if isinstance(answer, Refused):
+            raise answer
+        return answer
+
+    def leader(self) -> Link | None:
+        """The way to whoever leads, if that is another."""
+        name = self.service.member.leader
+        return self.links.get(name) if name is not None else None
+
+
+def _number(name: str) -> int:
+    return zlib.crc32(name.encode())
+
+
+class Front:
+    """The member's address: an application of aiohttp, and a bound on what connections may take."""
+
+    def __init__(self, node: Node) -> None:
+        self.node = node
+        self.active: dict[object, int] = {}  # calls under way, by connection
+        self.since: dict[object, float] = {}  # idle, by connection
+        app = web.Application(client_max_size=MEMBER_MOST, middlewares=[self._bounded])
+        app.router.add_post("/member", self._member)
+        app.router.add_post(gateway.WATCH, self._watch)
+        for path in gateway.PATHS:
+            app.router.add_post(path, self._call)
+        app.router.add_get("/health", self._health)
+        self.runner = web.AppRunner(
+            app, access_log=None, handle_signals=False, shutdown_timeout=1.0, lingering_time=1.0
+        )
+        self.server: asyncio.Server | None = None
+        self.sweeper: asyncio.Task[None] | None = None
+
+    async def listen(self, listener: socket.socket) -> None:
+        await self.runner.setup()
+        assert self.runner.server is not None
+        make = self.runner.server
+
+        def connected() -> asyncio.Protocol:
+            protocol = make()
+            self.since[protocol] = asyncio.get_running_loop().time()
+            return protocol
+
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(connected, sock=listener, backlog=512)
+        self.sweeper = asyncio.ensure_future(self._sweep())
+
+    async def close(self) -> None:
+        if self.server is not None:
+            self.server.close()
+        if self.sweeper is not None:
+            self.sweeper.cancel()
+        await self.runner.cleanup()
+
+    async def _sweep(self) -> None:
+        """End connections that ask nothing, or never come to the end of asking; the longest idle go first
+        where there are too many.
+        """
+        while True:
+            await asyncio.sleep(1.0)
+            now = asyncio.get_running_loop().time()
+            idle = [(since, each) for each, since in self.since.items() if each not in self.active]
+            idle.sort(key=lambda row: row[0])
+            over = len(self.since) - CONNECTIONS_MOST
+            for place, (since, protocol) in enumerate(idle):
+                transport = getattr(protocol, "transport", None)
+                if transport is None or transport.is_closing():
+                    if now - since > 1.0:
+                        del self.since[protocol]
+                elif now - since > IDLE_S or place < over:
+                    transport.abort()
+
+    @web.middleware
+    async def _bounded(self, request: web.Request, handler: Handler) -> web.StreamResponse:
+        protocol = request.protocol
+        self.active[protocol] = self.active.get(protocol, 0) + 1
+        try:
+            return await handler(request)
+        except Refused as refused:
+            status, body = gateway.refusal_of(refused)
+            response = web.json_response(body, status=status)
+            if "unread" in request:  # what is left of its body is not waited for
+                response.force_close()
+            return response
+        finally:
+            self.active.pop(protocol, None)
+            self.since[protocol] = asyncio.get_running_loop().time()
+
+    async def _body(self, request: web.Request, most: int) -> bytes:
+        """The call's body.  Raises Refused for one over `most`, and for one that does not come."""
+        if (request.content_length or 0) > most:
+            request["unread"] = True
+            raise Refused(Failure.EXHAUSTED, f"body: {request.content_length} bytes of at most {most}")
+        parts: list[bytes] = []
+        size = 0
+        try:
+            async with asyncio.timeout(BODY_S):
+                async for part in request.content.iter_any():
+                    size += len(part)
+                    if size > most:
+                        request["unread"] = True
+                        raise Refused(Failure.EXHAUSTED, f"body: over {most} bytes")
+                    parts.append(part)
+        except TimeoutError:
+            request["unread"] = True
+            raise Refused(Failure.INVALID, f"body: not here within {BODY_S:g} s") from None
+        return b"".join(parts)
+
+    async def _member(self, request: web.Request) -> web.Response:
+        data = await self._body(request, MEMBER_MOST)
+        try:
+            messages = _messages.decode(data)
+        except msgspec.MsgspecError as error:
+            raise Refused(Failure.INVALID, str(error)) from None
+        for message in messages:
+            self.node.points.reach("receive")
+            self.node.event(functools.partial(self._received, message))
+        return web.Response(status=204)
+
+    def _received(self, message: Any, now: float) -> Outputs:
+        service = self.node.service
+        return service.settle(now, service.member.receive(now, message))
+
+    async def _health(self, request: web.Request) -> web.Response:
+        member = self.node.service.member
+        led = member.leads or self.node.leader() is not None
+        body = {
+            "member": self.node.name, "leader": member.leader or "", "role": member.role.value,
+            "disk": member.incarnation, "version": list(member.version), "disks": dict(member.members),
+            "promised": list(member.promised),
+        }  # fmt: skip
+        return web.json_response(body, status=200 if led else 503)
+
+    async def _call(self, request: web.Request) -> web.StreamResponse:
+        data = await self._body(request, CALL_MOST)
+        asked = gateway.request_of(request.path, data)
+        if not self.node.service.member.leads:
+            return await self._forward(request, data)
+        self.node.points.reach("asked")
+        raw = gateway.answer_of(self.node.header(), await self.node.ask(asked))
+        self.node.points.reach("answer")
+        if request.path in gateway.STREAMED:
+            raw = {"result": raw}
+        return web.json_response(raw)
+
+    async def _forward(self, request: web.Request, data: bytes) -> web.StreamResponse:
+        """Have the leader answer: one step on, and no further."""
+        link = self.node.leader()
+        if link is None or VIA in request.headers:
+            raise Refused(Failure.UNAVAILABLE, "etcdserver: no leader")
+        seconds = self.node.group.table.request_ms / 1000 + 0.5
+        response: web.StreamResponse | None = None
+        try:
+            async with self.node.forwards.post(
+                link.base + request.path, data=data, headers={VIA: self.node.name}
+            ) as answer:
+                if request.path != gateway.WATCH:
+                    async with asyncio.timeout(seconds):
+                        body = await answer.read()
+                    return web.Response(body=body, status=answer.status, content_type="application/json")
+                headers = {"Content-Type": "application/json"}
+                response = web.StreamResponse(status=answer.status, headers=headers)
+                await response.prepare(request)
+                async for part in answer.content.iter_any():
+                    await response.write(part)
+                return response
+        except aiohttp.ClientConnectorError:
+            raise Refused(Failure.UNAVAILABLE, "etcdserver: the leader is not reached") from None
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            if response is not None:
+                request.protocol.force_close()
+                return response
+            raise Refused(Failure.UNKNOWN, "etcdserver: the leader did not answer") from None
+
+    async def _watch(self, request: web.Request) -> web.StreamResponse:
+        data = await self._body(request, CALL_MOST)
+        asked = gateway.watch_of(data)
+        node = self.node
+        if not node.service.member.leads:
+            return await self._forward(request, data)
+        node.tickets += 1
+        number = node.tickets
+        queue: asyncio.Queue[Told] = asyncio.Queue()
+        node.watchers[number] = queue
+        response = web.StreamResponse(headers={"Content-Type": "application/json"})
+        try:
+            node.event(lambda now: node.service.watch(now, number, asked.key, asked.end, asked.start))
+            first = await queue.get()
+            if first.ended:
+                raise Refused(Failure.UNAVAILABLE, "etcdserver: no leader, or too many watches")
+            await response.prepare(request)
+            created = {"header": node.header().at(first.revision), "created": True}
+            await response.write(_line(created))
+            told: Told | None = first
+            while told is not None:
+                if told.compacted:
+                    head = node.header().at(told.revision)
+                    end = {"header": head, "canceled": True, "compact_revision": str(told.compacted)}
+                    await response.write(_line(end))
+                    break
+                if told.ended:
+                    request.protocol.force_close()
+                    break
+                if told.events:
+                    line = gateway.events_of(node.header(), told.revision, told.events, asked.previous)
+                    await response.write(_line(line))
+                told = await queue.get()
+            return response
+        except (ConnectionError, OSError):
+            return response
+        finally:
+            node.watchers.pop(number, None)
+            node.service.unwatch(number)
+
+
+def _line(result: gateway.Json) -> bytes:
+    return json.dumps({"result": result}, separators=(",", ":")).encode() + b"\n"
+
+
+async def run(group: Group, name: str, disk: Disk, listen: str | None, ready: Callable[[int], None]) -> int:
+    """Serve as the member `name` until SIGTERM; the exit code.  `ready` is told the port."""
+    row = group.row(name)
+    assert row is not None
+    (address,) = addresses_of([listen or row.address])
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        listener.bind(address)
+    except OSError:
+        listener.close()
+        raise
+    node = Node(group, name, disk)
+    front = Front(node)
+    await front.listen(listener)
+    await node.start()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, node._over, 0)
+    ready(listener.getsockname()[1])
+    code = await node.over
+    await node.stop()
+    await front.close()
+    return code
+
--- /dev/null
+++ b/heronreel/faults/duty.py
@@ -0,0 +1,47 @@
+"""A process that does a fleet-wide task with the others: each step is one entry at a guarded place.
+
+`python -m heronreel.faults.duty NAME PLACE TTL ADDRESS...`.  `HERONREEL_END_AT=step:N` or `stepped:N` ends it
+before or behind the N-th step that it does.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+
+import aiohttp
+
+from heronreel.coordination.clock import Points
+from heronreel.coordination.duties import Duties
+from heronreel.coordination.holder import Terms
+from heronreel.coordination.holding import Holding
+from heronreel.coordination.tasks import Task
+
+TASK = Task("ledger", period_s=0.05, step_s=5.0)
+
+
+async def main(name: str, place: str, ttl: str, *addresses: str) -> None:
+    points = Points()
+    terms = Terms(ttl=int(ttl), margin=0.15 * int(ttl), answer=0.15 * int(ttl))
+    session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=1.0))
+
+    async def call(path: str, step: int, number: int) -> None:
+        row = {"task": TASK.name, "number": number, "step": step, "by": name}
+        async with session.post(f"http://{place}{path}", json=row) as response:
+            told = await response.json()
+        if not told.get("admitted"):
+            raise PermissionError(f"refused: {told}")
+
+    async def step(step: int, number: int) -> None:
+        points.reach("step")
+        await call("/enter", step, number)
+        await call("/write", step, number)
+        points.reach("stepped")
+
+    print("started", name, flush=True)
+    async with session, Holding(addresses, name, terms) as holding:
+        await Duties(holding, name, {TASK: step}, what=b"zone=test").run()
+
+
+if __name__ == "__main__":
+    asyncio.run(main(*sys.argv[1:]))
--- /dev/null
+++ b/tests/test_coordination_explored.py
@@ -0,0 +1,82 @@
+"""Every order of events of small worlds around the real cores; and with each guard out, a way to harm."""
+
+from __future__ import annotations
+
+import pytest
+
+from heronreel.coordination.member import Guards
+from heronreel.faults.explore import Found, after, explore
+from heronreel.faults.group_world import Budget, GroupWorld
+from heronreel.faults.lease_world import Guarded, LeaseWorld, Limits
+
+NAMES = ("a", "b", "c")
+LEADS = (  # a leads with c's help, and c has not heard of anything else
+    "a: tries", "c: is told by a: follow", "a: is told by c: yes", "c: is told by a: round 2.1",
+    "a: is told by c: I have 2.1, for round 1",
+)  # fmt: skip
+B_HOPES = ("b: tries", "c: is told by b: follow")  # and c's promise is on its way to b
+NEW_DISK = "c: crashes, and is back with a new disk"
+
+
+def group(budget: Budget, most: int, *prefix: str, **guards: bool) -> Found:
+    return explore(after(GroupWorld(NAMES, budget, Guards(**guards)), *prefix), most)
+
+
+def test_every_order_with_a_crash_of_each_keeps_what_was_confirmed() -> None:
+    found = group(Budget(tries="a", writes=1, reads=1, crashes="abc"), 400_000, rollback=False)
+    print(found)
+    assert found.whole and found.broken is None and found.states > 1_000
+
+
+@pytest.mark.parametrize(
+    ("guard", "budget", "prefix"),
+    [
+        ("majority", Budget(tries="ab", writes=1), ()),
+        ("newest", Budget(tries="ab", writes=1), LEADS),
+        ("promise", Budget(tries="ab", writes=1), B_HOPES),
+        ("sync", Budget(tries="ab", writes=1, crashes="c"), LEADS),
+        ("incarnation", Budget(tries="ab", writes=1, lost="c"), (*B_HOPES, NEW_DISK, "a: tries")),
+        ("rollback", Budget(tries="ab", writes=1, restored="c"), LEADS),
+    ],
+)
+def test_without_a_guard_something_confirmed_is_lost(
+    guard: str, budget: Budget, prefix: tuple[str, ...]
+) -> None:
+    others = {"rollback": False} if guard != "rollback" else {}
+    kept = group(budget, 6_000, *prefix, **others)
+    assert kept.broken is None, str(kept)
+    found = group(budget, 60_000, *prefix, **{**others, guard: False})
+    print(guard, found)
+    assert found.broken is not None and "confirmed write" in found.broken
+
+
+LEASE_LIMITS = Limits(seconds=7, questions=(0, 6), actions=2, changes=0)
+
+
+def test_at_most_one_acts_in_every_order() -> None:
+    found = explore(LeaseWorld(LEASE_LIMITS._replace(questions=(0, 5), changes=1), Guarded()), 12_000)
+    print(found)
+    assert found.broken is None and found.states > 10_000
+
+
+@pytest.mark.parametrize(
+    ("guard", "others", "words"),
+    [
+        ("fence", {}, "is taken after"),
+        ("grows", {}, "is taken after"),
+        ("drift", {"margin": False}, "two act at once"),
+        ("margin", {"fence": False}, "ends while"),
+    ],
+)
+def test_without_a_guard_of_leases_two_act(guard: str, others: dict[str, bool], words: str) -> None:
+    guarded = Guarded()._replace(**{**others, guard: False})
+    found = explore(LeaseWorld(LEASE_LIMITS, guarded), 150_000)
+    print(guard, found)
+    assert found.broken is not None and words in found.broken
+
+
+def test_clocks_further_apart_than_the_bound_let_two_hold_and_the_fence_still_refuses() -> None:
+    apart = LeaseWorld(LEASE_LIMITS, Guarded(), drift=0.01, true_drift=0.3)
+    found = explore(apart, 100_000)
+    print(found)
+    assert found.broken == "two act at once"
--- /dev/null
+++ b/tests/test_coordination_processes.py
@@ -0,0 +1,502 @@
+"""Several processes of the program with faults between them: groups, holders and a guarded place."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import shutil
+import signal
+import sys
+from collections.abc import AsyncIterator, Sequence
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import pytest
+
+from heronreel.coordination import overview
+from heronreel.coordination.client import Client
+from heronreel.coordination.holder import Terms
+from heronreel.coordination.holding import Holding
+from heronreel.coordination.model import (
+    Failure,
+    Grant,
+    KeepAlive,
+    LeaseDone,
+    Put,
+    Range,
+    RangeDone,
+    Refused,
+    TimeToLive,
+)
+from heronreel.faults.histories import Call, read
+from heronreel.faults.linear import wrong
+from heronreel.faults.processes import ROOT, Harness, Process
+from heronreel.faults.schedule import Fault, shortened
+from heronreel.faults.trial import judged, trial
+
+THREE = ("a", "b", "c")
+QUICK = Terms(ttl=2, margin=0.3, answer=0.3)
+
+
+def other_than(leader: str) -> str:
+    return next(name for name in THREE if name != leader)
+
+
+async def until_value(client: Client, key: bytes, value: bytes) -> None:
+    """Write it, whoever leads by then; a write of which nobody knows is written again."""
+    async with asyncio.timeout(20):
+        while True:
+            try:
+                await client.ask(Put(key, value), 1.0)
+                return
+            except Refused:
+                await asyncio.sleep(0.02)
+
+
+async def value(client: Client, key: bytes) -> bytes | None:
+    found = await client.ask(Range(key), 10.0)
+    assert isinstance(found, RangeDone)
+    return found.records[0][1].value if found.records else None
+
+
+@pytest.mark.parametrize("seed", [11, 12])
+def test_steps_of_a_task_under_seeded_faults_are_done_once_and_by_one_at_a_time(
+    seed: int, tmp_path: Path
+) -> None:
+    outcome = asyncio.run(trial(tmp_path, seed, workers=4, seconds=6.0, within=30.0))
+    print(f"seed {seed}: {outcome}")
+    assert not outcome.problems and outcome.steps > 20 and outcome.calls > 50
+
+
+def test_any_one_of_three_may_go_with_its_disk_and_two_gone_answer_nothing(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with Harness(tmp_path, THREE, 1) as harness, Client(harness.addresses) as client:
+            for count, name in enumerate((*THREE, await harness.leader())):
+                await harness.whole()
+                await until_value(client, b"k", b"%d" % count)
+                await harness.members[name].kill()
+                shutil.rmtree(tmp_path / name)
+                await until_value(client, b"other", b"%d" % count)  # the others go on
+                await harness.start(name)
+                await harness.whole()
+                assert await value(client, b"k") == b"%d" % count
+            leader = await harness.leader()
+            for name in THREE:
+                if name != leader:
+                    await harness.members[name].kill()
+            with pytest.raises(Refused):
+                await client.ask(Put(b"k", b"lost"), 2.0)
+            async with Client([harness.front[leader].address]) as alone:
+                with pytest.raises(Refused) as refused:
+                    await alone.ask(Range(b"k"), 2.5)  # also to read: who leads may be elsewhere by now
+                assert refused.value.code in (Failure.UNAVAILABLE, Failure.TOO_LATE, Failure.UNKNOWN)
+            for name in THREE:
+                if name != leader:
+                    await harness.start(name)
+            await until_value(client, b"last", b"1")
+            assert await value(client, b"other") == b"3"
+
+    asyncio.run(run())
+
+
+def test_a_leader_killed_at_every_write_loses_nothing_that_was_answered(tmp_path: Path) -> None:
+    """The point is announced by the process; it is ended before the write and behind it, in turn."""
+
+    async def run() -> None:
+        async with Harness(tmp_path, THREE, 2) as harness, Client(harness.addresses) as client:
+            for count in range(6):
+                await harness.whole()
+                leader = await harness.leader()
+                await harness.members[leader].kill()
+                point = ("write", "written", "sent")[count % 3]
+                await harness.start(leader, HERONREEL_END_AT=f"{point}:{count + 4}")
+                for number in range(4):
+                    await until_value(client, b"n%d" % count, b"%d" % number)
+                if harness.members[leader].process.returncode is None:
+                    await harness.members[leader].kill()
+                await harness.members[leader].ended()
+                await harness.start(leader)
+                assert await value(client, b"n%d" % count) == b"3"
+            for count in range(6):
+                assert await value(client, b"n%d" % count) == b"3"
+
+    asyncio.run(run())
+
+
+def test_a_disk_of_yesterday_is_told_and_begins_anew(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with Harness(tmp_path, THREE, 3) as harness, Client(harness.addresses) as client:
+            await until_value(client, b"k", b"old")
+            await harness.whole()
+            back = other_than(await harness.leader())
+            await harness.members[back].kill()
+            shutil.copytree(tmp_path / back, tmp_path / "yesterday")
+            await harness.start(back)
+            await harness.whole()
+            for number in range(5):
+                await until_value(client, b"k", b"%d" % number)
+            await harness.whole()
+            await until_value(client, b"k", b"new")  # tells what each has confirmed
+            await harness.members[back].kill()
+            shutil.rmtree(tmp_path / back)
+            shutil.copytree(tmp_path / "yesterday", tmp_path / back)
+            process = await harness.start(back)
+            await process.line("disk set back")
+            await harness.whole()
+            assert await value(client, b"k") == b"new"
+
+    asyncio.run(run())
+
+
+def test_one_way_cuts_and_a_stopped_leader_are_survived(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with Harness(tmp_path, THREE, 4) as harness, Client(harness.addresses) as client:
+            await harness.whole()
+            leader = await harness.leader()
+            other = other_than(leader)
+            harness.between[leader, other].out.cut = True  # it hears nothing of the leader
+            for number in range(20):
+                await client.ask(Put(b"k", b"%d" % number), 3.0)
+            assert await harness.leader() == leader  # and disturbs nobody
+            harness.between[leader, other].heal()
+            await harness.whole()
+            leader = await harness.leader()
+            harness.members[leader].stop()
+            away = [harness.front[name].address for name in THREE if name != leader]
+            async with Client(away) as rest:
+                await until_value(rest, b"k", b"later")
+            harness.members[leader].go_on()
+            async with Client([harness.front[leader].address]) as woken:
+                assert await value(woken, b"k") == b"later"  # nothing older is ever answered
+            # the leader hears nobody, while all hear it: it steps down, and another one leads
+            await harness.whole()
+            leader = await harness.leader()
+            for name in THREE:
+                if name != leader:
+                    harness.between[name, leader].out.cut = True
+            await until_value(client, b"k", b"last")
+            assert await harness.leader() != leader
+
+    asyncio.run(run())
+
+
+async def held(worker: Process, after: int = 0) -> int:
+    """The first number above `after` that the worker says it holds."""
+    async with asyncio.timeout(30):
+        while True:
+            said = [int(line.split()[1]) for line in worker.lines if line.startswith("held ")]
+            if fresh := [number for number in said if number > after]:
+                return fresh[0]
+            await asyncio.sleep(0.01)
+
+
+def test_a_holder_stopped_in_the_middle_of_an_action_is_refused_and_notices(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with Harness(tmp_path, ("a",), 5) as harness:
+            history = tmp_path / "place.history"
+            words = ("heronreel.faults.place", str(tmp_path / "table"), str(history))
+            place = await harness.run("place", *words)
+            port = (await place.line("listens")).split()[1]
+
+            async def worker(name: str) -> Process:
+                path = str(tmp_path / f"{name}.history")
+                words = ("heronreel.faults.worker", name, path, f"127.0.0.1:{port}", "2")
+                return await harness.run(name, *words, *harness.addresses)
+
+            first = await worker("w1")
+            number = await held(first)
+            second = await worker("w2")
+            await second.line("started")
+            first.stop()  # wherever it is between look and act
+            later = await held(second, number)
+            first.go_on()
+            await first.line("lost", str(number))
+            async with asyncio.timeout(20):  # it wants the task again, and the second gives it back
+                second.signal(signal.SIGTERM)
+                assert await second.ended() == 0
+            assert await held(first, later) > later
+            async with aiohttp.ClientSession() as session:
+                row = {"task": "ledger", "number": number, "step": 1, "by": "w1"}
+                async with session.post(f"http://127.0.0.1:{port}/write", json=row) as answer:
+                    told: dict[str, Any] = await answer.json()
+            assert not told["admitted"] and told["greatest"] >= later
+
+    asyncio.run(run())
+
+
+def test_a_lease_is_not_lost_with_the_leader_nor_given_to_two(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with Harness(tmp_path, THREE, 6) as harness:
+            async with (
+                Holding(harness.addresses, "one", QUICK) as one,
+                Holding(harness.addresses, "two", QUICK) as two,
+            ):
+                claim, other = one.claim("task"), two.claim("task")
+                number = await one.held(claim) if await first_of(one, claim, two, other) else 0
+                number = number or await two.held(other)
+                await harness.members[await harness.leader()].kill()
+                async with Client(harness.addresses) as client:
+                    await until_value(client, b"k", b"1")
+                    holder, mine = (one, claim) if claim.number else (two, other)
+                    await holder.held(mine)
+                    assert mine.number == number  # the new leader counts its time anew
+                    left = await client.ask(TimeToLive(holder.session.lease, True), 5.0)
+                    assert isinstance(left, LeaseDone) and left.keys == (b"held/task",) and left.ttl >= 0
+                    assert not (claim.acts(one.now()) and other.acts(two.now()))
+
+    async def first_of(one: Holding, claim: Any, two: Holding, other: Any) -> bool:
+        waits = [asyncio.ensure_future(one.held(claim)), asyncio.ensure_future(two.held(other))]
+        await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        for wait in waits:
+            wait.cancel()
+        return bool(claim.number)
+
+    asyncio.run(run())
+
+
+def test_a_watch_goes_on_over_leaders_and_one_that_fell_behind_is_told(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with Harness(tmp_path, THREE, 7) as harness, Client(harness.addresses) as client:
+            await until_value(client, b"w/0", b"0")
+            seen: list[bytes] = []
+            missed = 0
+
+            async def watching(changes: AsyncIterator[Any]) -> None:
+                nonlocal missed
+                async for change in changes:
+                    missed += change.missed
+                    if change.missed:
+                        found = await client.ask(Range(b"w/", b"w0"), 10.0)
+                        assert isinstance(found, RangeDone)
+                        seen.extend(key for key, _ in found.records)
+                    seen.extend(event.key for event in change.events)
+
+            task = asyncio.ensure_future(watching(client.watch(b"w/", b"w0", 1)))
+            await harness.whole()
+            await harness.members[await harness.leader()].kill()
+            for number in range(1, 6):
+                await until_value(client, b"w/%d" % number, b"1")
+            async with asyncio.timeout(20):
+                while not {b"w/%d" % number for number in range(6)} <= set(seen):
+                    assert not task.done(), task.exception()
+                    await asyncio.sleep(0.02)
+            task.cancel()
+            body = {"create_request": {"key": "dw==", "start_revision": "1"}}
+            address = harness.front[await harness.leader()].address
+            async with aiohttp.ClientSession() as session:
+                async with session.post(f"http://{address}/v3/watch", json=body) as answer:
+                    lines = [json.loads(await answer.content.readline()) for _ in range(2)]
+            assert lines[1]["result"]["canceled"] and int(lines[1]["result"]["compact_revision"]) > 1
+
+    asyncio.run(run())
+
+
+def test_bad_callers_are_refused_and_bounded(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with Harness(tmp_path, ("a",), 8) as harness, aiohttp.ClientSession() as session:
+            await harness.serves()
+            base = f"http://{harness.front['a'].address}"
+            async with session.post(f"{base}/v3/kv/put", data=b"{") as answer:
+                assert answer.status == 400 and (await answer.json())["code"] == 3
+            async with session.post(f"{base}/v3/kv/put", data=b"[" * 100_000) as answer:
+                assert answer.status == 400
+            async with session.post(f"{base}/member", data=b"\x01") as answer:
+                assert answer.status == 400
+            reader, writer = await asyncio.open_connection(*harness.front["a"].target)
+            head = b"POST /v3/kv/put HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
+            writer.write(head % (64 << 20) + b"x" * 999)
+            assert b" 429 " in await reader.readline()
+            writer.close()
+            reader, writer = await asyncio.open_connection(*harness.front["a"].target)
+            writer.write(head % 500 + b"{")
+            async with asyncio.timeout(20):  # the rest never comes
+                assert b" 400 " in await reader.readline()
+            writer.close()
+
+    asyncio.run(run())
+
+
+def test_a_full_disk_is_one_loss_and_a_damaged_one_does_not_serve(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with Harness(tmp_path, THREE, 9) as harness, Client(harness.addresses) as client:
+            await harness.whole()
+            full = await harness.leader()
+            harness.fill(full)
+            await until_value(client, b"k", b"1")
+            await harness.members[full].line("disk refuses")
+            harness.fill(full, on=False)
+            await harness.whole()
+            name = other_than(await harness.leader())
+            await harness.members[name].kill()
+            log = max((tmp_path / name).glob("*.log"), key=lambda path: path.stat().st_size)
+            data = bytearray(log.read_bytes())
+            data[len(data) // 2] ^= 0xFF
+            log.write_bytes(data)
+            table = next(iter((tmp_path / name).glob("*.table")), None)
+            if table is not None:
+                table.write_bytes(b"x" * table.stat().st_size)
+            words = ("heronreel.cli", "coordinate", str(tmp_path / f"{name}.toml"), "--name", name)
+            damaged = await harness.run("damaged", *words, "--folder", str(tmp_path / name))
+            assert await damaged.ended() == 74
+            await damaged.line("does not serve")
+            await until_value(client, b"k", b"2")
+            wrong_name = await harness.run(
+                "other", *words[:4], "c" if name != "c" else "b", "--folder", str(tmp_path / "nothing"),
+                "--listen", "127.0.0.1:0",
+            )  # fmt: skip
+            await wrong_name.line("listens")
+
+    asyncio.run(run())
+
+
+def test_commands_show_and_take_away(tmp_path: Path) -> None:
+    async def command(*words: str) -> tuple[int, str]:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "heronreel.cli", *words, cwd=ROOT,
+            stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.STDOUT,
+        )  # fmt: skip
+        out, _ = await process.communicate()
+        return process.returncode or 0, out.decode()
+
+    async def run() -> None:
+        async with Harness(tmp_path, ("a",), 10) as harness:
+            await harness.serves()
+            members = f"a={harness.front['a'].address}"
+            async with Holding(harness.addresses, "roller", Terms()) as holding:
+                claim = holding.claim("release")
+                number = await holding.held(claim)
+                present = holding.present("p1", b"zone=etna")
+                await holding.held(present)
+                code, out = await command("leases", "--members", members, "--json")
+                rows = json.loads(out)
+                assert code == 0 and rows["present"][0]["name"] == "p1"
+                (row,) = rows["held"]
+                assert (row["task"], row["by"], row["number"]) == ("release", "roller", number)
+                assert 0 <= row["left_s"] <= 6
+                code, out = await command("leases", "--members", members, "--take", "release")
+                assert code == 0 and str(number) in out
+                assert (await command("leases", "--members", members, "--take", "nothing"))[0] == 1
+                async with asyncio.timeout(20):  # the holder looks, and takes it anew with a greater number
+                    while claim.number in (0, number):
+                        await asyncio.sleep(0.02)
+                assert claim.number > number
+            harness.members["a"].signal(signal.SIGTERM)
+            assert await harness.members["a"].ended() == 0
+            assert (await command("leases", "--members", members))[0] == 2
+        bad = tmp_path / "bad.toml"
+        bad.write_text('[[members]]\nname = "a"\naddress = "127.0.0.1:1"\n' * 2)
+        code, out = await command("coordinate", str(bad), "--name", "a")
+        assert code == 78 and ": 4: members.a: " in out
+
+    asyncio.run(run())
+
+
+def test_the_judges_fail_on_bad_histories() -> None:
+    def call(what: str, given: Any, begin: float, end: float, result: Any = None, by: str = "c") -> Call:
+        return Call(by, what, given, begin, end, result)
+
+    put = call("put", ["x", "1"], 0, 1, True)
+    assert wrong([put, call("read", ["x"], 2, 3, "1")]) is None
+    assert wrong([put, call("read", ["x"], 2, 3, None)])  # an old value
+    assert wrong([put, call("read", ["x"], 0.5, 3, None)]) is None  # at the same time
+    lost = call("put", ["x", "2"], 0, float("inf"))
+    assert wrong([lost, call("read", ["x"], 1, 2, "2"), call("read", ["x"], 3, 4, "2")]) is None
+    assert wrong([lost, call("read", ["x"], 1, 2, "2"), call("read", ["x"], 3, 4, None)])  # and back again
+    twice = [call("cas", ["x", None, str(n)], 0, 1, True, f"c{n}") for n in range(2)]
+    assert wrong(twice) and wrong([twice[0], twice[1]._replace(result=False)]) is None
+
+    def placed(*rows: tuple[str, int, int, str, float]) -> list[Call]:
+        return [
+            call(what, {"number": n, "step": s, "by": by}, at, float("inf"), by="place")
+            for what, n, s, by, at in rows
+        ]
+
+    def acts(*rows: tuple[str, int, int, float]) -> list[Call]:
+        return [call("act", [n, s], at, at + 1, True, by) for by, n, s, at in rows]
+
+    good = placed(("entered", 5, 0, "w", 0), ("taken", 5, 1, "w", 2), ("taken", 6, 2, "v", 4))
+    assert judged(good, acts(("w", 5, 1, 1), ("v", 6, 2, 3))) == []
+    assert judged(good, acts(("w", 5, 1, 1), ("v", 6, 2, 1.5)))  # began while the other acted
+    late = placed(("taken", 6, 1, "v", 2), ("taken", 5, 2, "w", 3))
+    assert judged(late, acts(("v", 6, 1, 1), ("w", 5, 2, 2)))
+    assert judged(placed(("taken", 5, 1, "w", 2), ("taken", 5, 1, "w", 3)), acts(("w", 5, 1, 1)))
+    assert judged(placed(("taken", 5, 1, "w", 2)), [])
+
+
+def test_a_failing_schedule_is_shortened_to_what_fails() -> None:
+    faults = [Fault(at, 1.0, "kill", who) for at, who in enumerate("abcabcabc")]
+
+    async def fails(left: Sequence[Fault]) -> bool:
+        return {faults[2], faults[7]} <= set(left)
+
+    assert asyncio.run(shortened(faults, fails)) == [faults[2], faults[7]]
+
+
+def test_a_lease_that_was_granted_and_not_told_is_taken_up(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with Harness(tmp_path, ("a",), 11) as harness, Client(harness.addresses) as client:
+            await harness.serves()
+            relay = harness.front["a"]
+            async with Holding(harness.addresses, "one", QUICK) as holding:
+                claim = holding.claim("t")
+                number = await holding.held(claim)
+                relay.back.cut = True  # renewals go through, their answers do not
+                async with asyncio.timeout(20):
+                    while claim.acts(holding.now()):
+                        await asyncio.sleep(0.01)
+                relay.heal()
+                assert await holding.held(claim) >= number
+                again = await client.ask(KeepAlive(holding.session.lease), 5.0)
+                assert isinstance(again, LeaseDone) and again.ttl == 2
+                with pytest.raises(Refused, match="exists"):
+                    await client.ask(Grant(2, holding.session.lease), 5.0)
+
+    asyncio.run(run())
+
+
+def test_a_fleet_wide_task_goes_on_where_it_was_through_kills_of_all_who_do_it(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with Harness(tmp_path, THREE, 12) as harness, Client(harness.addresses) as client:
+            await harness.whole()
+            history = tmp_path / "place.history"
+            words = ("heronreel.faults.place", str(tmp_path / "table"), str(history))
+            place = await harness.run("place", *words)
+            port = (await place.line("listens")).split()[1]
+
+            async def duty(name: str, **env: str) -> Process:
+                words = ("heronreel.faults.duty", name, f"127.0.0.1:{port}", "2", *harness.addresses)
+                return await harness.run(name, *words, **env)
+
+            async def steps() -> int:
+                try:
+                    rows = await overview.tasks(client)
+                except Refused:
+                    return 0
+                return int(rows[0]["confirmed"]) if rows else 0
+
+            async def reaches(count: int) -> None:
+                async with asyncio.timeout(40):
+                    while await steps() < count:
+                        await asyncio.sleep(0.02)
+
+            await duty("last")
+            for count, point in enumerate(("step:3", "stepped:3")):
+                before = await steps()
+                doomed = [await duty(f"d{count}{number}", HERONREEL_END_AT=point) for number in range(2)]
+                await reaches(before + 4)
+                leader = await harness.leader()
+                await harness.members[leader].kill()  # and the group's leader beside them
+                await reaches(before + 8)
+                await harness.start(leader)
+                await harness.whole()
+                for process in doomed:
+                    if process.process.returncode is None:
+                        await process.kill()
+            await reaches(await steps() + 5)
+            placed = read([history])
+        taken = [call.given["step"] for call in placed if call.what == "taken"]
+        numbers = [call.given["number"] for call in placed if call.what == "taken"]
+        assert taken == list(range(1, len(taken) + 1)) and numbers == sorted(numbers)
+
+    asyncio.run(run())
