A late renewal is told as a loss and a new hold, and the judges read restarted processes right

A renewal that was answered behind the holder's own end, before a tick saw that end, made the claim good again without an action; holding.held waits for actions, so the worker waited for what it held while its lease was kept alive.

--- a/heronreel/coordination/holder.py
+++ b/heronreel/coordination/holder.py
@@ -144,10 +144,8 @@
 
     def tick(self, now: float) -> Actions:
         """Time has passed."""
-        actions: Actions = []
         self.claims = [claim for claim in self.claims if claim.wanted or not claim.released]
-        if self.granted and now >= self.until:
-            actions += self._stop(f"not renewed for {self.terms.ttl - self.terms.margin:.1f} s")
+        actions = self._lapsed(now)
         if self.asked is not None and now >= self.asked[1] + self.terms.answer:
             self._again(now)
         if self.asked is None and now >= self.due:
@@ -156,6 +154,14 @@
             actions += claim.tick(now)
         return actions
 
+    def _lapsed(self, now: float) -> Actions:
+        """Said also where the renewal comes at last, before any tick saw the end: whoever acted has
+        stopped.
+        """
+        if not self.granted or now < self.until:
+            return []
+        return self._stop(f"not renewed for {self.terms.ttl - self.terms.margin:.1f} s")
+
     def _ask(self, now: float) -> Actions:
         request: Request = KeepAlive(self.lease) if self.granted else Grant(self.terms.ttl, self.lease)
         if self.ending:
@@ -185,7 +191,7 @@
             self.granted = self.granted and not gone
             return []
         if isinstance(answer, LeaseDone) and answer.ttl > 0:
-            return self._renewed(now, sent, answer.ttl)
+            return self._lapsed(now) + self._renewed(now, sent, answer.ttl)
         if isinstance(answer, LeaseDone) or (
             isinstance(answer, Refused) and answer.code is Failure.NOT_FOUND
         ):
--- a/heronreel/coordination/process.py
+++ b/heronreel/coordination/process.py
@@ -528,8 +528,8 @@
         raise
     node = Node(group, name, disk)
     front = Front(node)
-    await front.listen(listener)
     await node.start()
+    await front.listen(listener)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, node._over, 0)
--- a/heronreel/faults/histories.py
+++ b/heronreel/faults/histories.py
@@ -37,12 +37,13 @@
         self.file = os.open(path, os.O_WRONLY | os.O_APPEND | os.O_CREAT | os.O_CLOEXEC, 0o600)
         self.count = 0
 
-    def begin(self, what: str, given: Any = None) -> int:
+    def begin(self, what: str, given: Any = None) -> str:
         self.count += 1
-        self._write({"n": self.count, "what": what, "given": given})
-        return self.count
+        number = f"{os.getpid()}.{self.count}"  # a process begun anew goes on in the same file
+        self._write({"n": number, "what": what, "given": given})
+        return number
 
-    def end(self, number: int, result: Any) -> None:
+    def end(self, number: str, result: Any) -> None:
         self._write({"n": number, "result": result})
 
     def _write(self, row: dict[str, Any]) -> None:
@@ -59,7 +60,7 @@
     """
     calls: list[Call] = []
     for path in paths:
-        open_: dict[tuple[str, int], Call] = {}
+        open_: dict[tuple[str, str], Call] = {}
         for line in path.read_bytes().splitlines():
             try:
                 row = json.loads(line)
