Refused calls for the list are spread over the time for asking, late ones over two seconds

Logs of: some 40 watches fell silent during their first calls; the service goes on with calls nobody waits for (one at 4.06 s was answered once they were done, at 5.4 s). New calls at 2.9 to 4.8 s waited over its 2 s, were refused and worked off all the same: 330 refusals, nobody answered for 20 s (flintplank/asking.py, failed: 0.5 to 1 s doubled, what had passed taken off). BackendList tells why a call failed. Refused: the next over 0.1 to 1 of MustAskInMs, in which the service can take one call from everybody; a failed call is good for four times that. Late: over 2 s, which leaves 1.5 s for the answer.

--- a/dykemux/proxy.py
+++ b/dykemux/proxy.py
@@ -430,9 +430,9 @@
 
     # The list.
 
-    def told(self, members: Members | None) -> None:
-        if members is None:
-            self.tell(api.BackendList(api.ListKind.FAILED))
+    def told(self, members: Members | api.Lost) -> None:
+        if isinstance(members, api.Lost):
+            self.tell(api.BackendList(api.ListKind.FAILED, lost=members))
         else:
             self.heard = True
             self._take_list(members, api.ListKind.FULL if members.whole else api.ListKind.CHANGES)
--- a/flintplank/asking.py
+++ b/flintplank/asking.py
@@ -9,12 +9,13 @@
 
 import random
 
-from flintplank.interface import pause_before
+from flintplank.interface import Lost, pause_before
 
 FIRST_SHARE = 1.0 / 8.0  # of the time within which a proxy must ask: the first calls spread over it (ours)
-FIRST_MS = 1000.0  # from a call to the next after a first failure; doubled with each further one (ours)
-SPREAD_MS = 500.0  # over which calls are spread whose pause is over already, as when all watches end (ours)
-MOST_SHARE = 1.0 / 3.0  # of the time within which a proxy must ask: the longest pause (ours)
+FIRST_MS = 1000.0  # the wait after a first failure; doubled with each further one (ours)
+SPREAD_MS = 2000.0  # over which calls for late watches are spread (ours)
+REFUSED_LEAST = 0.1  # of the time within which a proxy must ask: the shortest wait after a refusal (ours)
+MOST_SHARE = 1.0 / 3.0  # of the time within which a proxy must ask: the longest wait, unless refused (ours)
 
 
 class Asking:
@@ -38,22 +39,28 @@
         """The timer has fired, and the call goes out."""
         self.due, self.asked_at = False, now
 
-    def failed(self, now: float, draw: random.Random) -> float | None:
+    def failed(self, now: float, draw: random.Random, lost: Lost = Lost.ENDED) -> float | None:
         """How long to wait before the next call, ms; None if one is due already.
 
-        The pause is one between calls, so what has passed since the last one is taken off: a watch that
-        lasted a while and then fell silent was asked for long ago, and what it misses soon counts as told.
-        Only a watch that lasts ends the back-off: one that breaks off at once is no better than none.
+        Only a watch that lasts ends the back-off: one that breaks off at once is no better than none.  For
+        one that is late, what has passed since it was asked for is taken off the pause, as what it misses
+        soon counts as told.  A service that refuses may work through the calls of those who gave up as well,
+        so it answers nobody while all ask faster than it works; it can take one call from everybody within
+        the time in which a proxy must ask, and a failed call is good for four times that.
         """
         if self.due:
             return None
         self.due = True
-        since = now - self.asked_at
-        if self.told_at >= self.asked_at and since >= self.most():
+        if lost is Lost.BUSY:
+            return self.within_ms * draw.uniform(REFUSED_LEAST, 1.0)
+        since, answered = now - self.asked_at, self.told_at >= self.asked_at
+        if answered and (since >= self.most() or lost is Lost.LATE):
             self.failures = 0
         self.failures += 1
         pause = pause_before(self.failures, min(FIRST_MS, self.most()), self.most()) * draw.uniform(0.5, 1.0)
-        return max(pause - since, min(SPREAD_MS, self.most()) * draw.random())
+        if lost is Lost.LATE:
+            return max(pause - since, min(SPREAD_MS, self.most()) * draw.random())
+        return pause
 
     def told(self, now: float) -> None:
         """News came, so the call was answered."""
--- a/flintplank/choice.py
+++ b/flintplank/choice.py
@@ -567,7 +567,7 @@
             if self.settings.watch_list:
                 self.actions.append(api.SetTimer(WATCH, self.asking.begin(self.random)))
         if news.kind is api.ListKind.FAILED:
-            wait = self.asking.failed(now, self.random)
+            wait = self.asking.failed(now, self.random, news.lost)
             if wait is not None:
                 self.actions.append(api.SetTimer(WATCH, wait))
             return
--- a/flintplank/interface.py
+++ b/flintplank/interface.py
@@ -61,6 +61,14 @@
     FAILED = "failed"  # a call failed or the watch was lost; the old list stays in force
 
 
+class Lost(Enum):
+    """Why a list call or watch failed."""
+
+    ENDED = "ended"  # not to be had, broken off or unreadable
+    LATE = "late"  # silent for longer than a healthy one: what it misses soon counts as told
+    BUSY = "busy"  # the service refused it: it has too many calls
+
+
 class State(Enum):
     """A backend's state on the list."""
 
@@ -226,6 +234,7 @@
 class BackendList:
     kind: ListKind
     backends: list[BackendInfo] = field(default_factory=list)
+    lost: Lost = Lost.ENDED  # of FAILED
 
 
 @dataclass(slots=True)
