--- a/heronreel/cli/coordinate.py
+++ b/heronreel/cli/coordinate.py
@@ -21,7 +21,7 @@
         click.echo(f"{name}: {problem}", err=True)
 
 
-def _group(file: str | None, members: str | None, folder: str) -> Any:
+def group_of(file: str | None, members: str | None, folder: str) -> Any:
     """The group of a file or of --members; ends the process with its problems."""
     from heronreel.coordination.settings import load_file, of_words
     from heronreel.routes.reader import BadFile
@@ -60,7 +60,7 @@
 
     to_stderr()
     log = structlog.get_logger()
-    group = _group(file, members, folder)
+    group = group_of(file, members, folder)
     row = group.row(name)
     if row is None:
         click.echo(f"--name: {name!r} is none of {', '.join(r.name for r in group.members)}", err=True)
@@ -107,7 +107,7 @@
     from heronreel.coordination.client import Client
     from heronreel.coordination.model import Refused
 
-    group = _group(file, members, "-")
+    group = group_of(file, members, "-")
 
     async def run() -> Any:
         async with Client(row.address for row in group.members) as client:
@@ -203,7 +203,7 @@
 
     if wish is not None:
         names = sorted(set(wish.replace(",", " ").split()))
-        known = {row.name for row in _group(file, members, "-").members}
+        known = {row.name for row in group_of(file, members, "-").members}
         wrong = [f"{name!r} is none of {', '.join(sorted(known))}" for name in names if name not in known]
         if not names or (len(names) % 2 == 0 and not even):
             wrong.append(f"{len(names)} members; an odd number, or --even")
--- a/heronreel/faults/account_world.py
+++ b/heronreel/faults/account_world.py
@@ -19,8 +19,19 @@
 from heronreel.coordination.model import Answer, Put, Refused, Txn
 from heronreel.coordination.state import EMPTY, State
 from heronreel.faults.explore import Broken
-from heronreel.fleet.model import PARTS, REGISTER, RULES, Condition, Instance, Kind, Part, Rule, rules_encoded
-from heronreel.fleet.taking import Actions, Back, Guards, Taken, Taking, take_over, told
+from heronreel.fleet.model import (
+    PARTS,
+    REGISTER,
+    RULES,
+    Condition,
+    Halt,
+    Instance,
+    Kind,
+    Part,
+    Rule,
+    rules_encoded,
+)
+from heronreel.fleet.taking import Actions, Back, Guards, Taken, Taking, halting, take_over, told
 
 RULE = Rule("one", Kind.PROXY, most_out=1)
 IDENTS = ("proxy/x", "proxy/y")
@@ -33,6 +44,7 @@
     looks: int = 3
     losses: int = 0
     deaths: int = 0  # of operations, each followed by a new one
+    halts: int = 0
     asks: int = 12
 
 
@@ -91,6 +103,7 @@
         )
         self.sent: frozenset[Question | Reply | Command] = frozenset()
         self.loss_told = ""  # the instance whose loss the records have
+        self.halted = False
 
     def _taking(self, number: int, ident: str) -> Taking:
         return Taking(f"o{number}", "x", "drain", number, (ident,), guards=self.guards)
@@ -106,9 +119,15 @@
              each.taking.asked is not None)
             for each in self.operations
         ]  # fmt: skip
-        return tuple(rows), self.owners, self.sent, self.state.keys, self.budget, self.loss_told
+        return tuple(rows), self.owners, self.sent, self.state.keys, self.budget, self.loss_told, self.halted
 
     def steps(self) -> Iterator[tuple[str, AccountWorld]]:
+        if self.budget.halts:
+            world = self.fork()
+            world.budget = self.budget._replace(halts=self.budget.halts - 1)
+            world.state = self.state.apply(halting(Halt("x", "enough"))).state
+            world.halted = True
+            yield "somebody halts", world
         for place, operation in enumerate(self.operations):
             yield from self._of_operation(place, operation)
         for place, owner in enumerate(self.owners):
@@ -260,6 +279,8 @@
         fresh = [key for key in world.state.keys if key.startswith(PARTS) and key not in self.state.keys]
         if self.loss_told and any(key != PARTS + self.loss_told.encode() for key in fresh):
             raise Broken("a part was taken though a loss was known", "the group is asked")
+        if self.halted and fresh:
+            raise Broken("a part was taken after the halt", "the group is asked")
         return world
 
     def _answered(self, reply: Reply) -> AccountWorld:
--- a/heronreel/fleet/account.py
+++ b/heronreel/fleet/account.py
@@ -15,11 +15,13 @@
 from heronreel.coordination.holder import PRESENT_PREFIX, names_there
 from heronreel.coordination.model import Range, RangeDone, Record, Txn, TxnDone, after
 from heronreel.fleet.model import (
+    HALT,
     INSTANCES,
     PARTS,
     REGISTER,
     RULES,
     Condition,
+    Halt,
     Instance,
     Part,
     Rule,
@@ -32,6 +34,7 @@
         Range(RULES),
         Range(INSTANCES, after(INSTANCES)),
         Range(PARTS, after(PARTS)),
+        Range(HALT),
         Range(PRESENT_PREFIX, after(PRESENT_PREFIX), keys_only=True),
     ),
 )  # all of it at one moment
@@ -78,6 +81,7 @@
     rules: tuple[Rule, ...]
     instances: Mapping[str, Instance]  # by kind and name
     parts: Mapping[str, Part]  # by instance
+    halted: Halt | None = None
 
     def is_out(self, ident: str) -> bool:
         if ident in self.parts:
@@ -125,7 +129,7 @@
     taken from an account that can't be read.
     """
     *rest, present = (r for r in answer.results if isinstance(r, RangeDone))
-    register, rules, instances, parts = (r.records for r in rest)
+    register, rules, instances, parts, halt = (r.records for r in rest)
     there = set(names_there(present))
     rows = (msgspec.json.decode(record.value, type=Instance) for _, record in instances)
     return Account(
@@ -133,6 +137,7 @@
         msgspec.json.decode(rules[0][1].value, type=tuple[Rule, ...]) if rules else (),
         {i.ident: _known(i, there) for i in rows},
         {p.ident: p for p in (msgspec.json.decode(r.value, type=Part) for _, r in parts)},
+        msgspec.json.decode(halt[0][1].value, type=Halt) if halt else None,
     )
 
 
--- a/heronreel/fleet/model.py
+++ b/heronreel/fleet/model.py
@@ -15,6 +15,8 @@
 PARTS = b"fleet/part/"
 RULES = b"fleet/rules"
 REGISTER = b"fleet/register"
+HALT = b"fleet/halt"
+WORK = b"fleet/work"
 
 Share = Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
 
@@ -49,6 +51,7 @@
     start: str = ""  # drawn at each start: another one is another process
     looked: int = 0  # counts the looks of its owner: evidence is of a look after the act
     number: int = 0  # the greatest fencing number that its owner knew at that look
+    version: str = ""  # that its process runs; "": there is none, or nobody knows
 
     @property
     def key(self) -> bytes:
@@ -109,7 +112,44 @@
         return PARTS + self.ident.encode()
 
 
-def encoded(record: Instance | Part) -> bytes:
+class Halt(msgspec.Struct, frozen=True):
+    """While it stands, no part is taken by anybody, whoever dies or comes back in between."""
+
+    by: str
+    why: str
+
+
+class Verb(enum.Enum):
+    """What an operation does to each of its instances."""
+
+    DRAIN = "drain"
+    UNDRAIN = "undrain"
+    START = "start"
+    STOP = "stop"
+    RESTART = "restart"
+    UPGRADE = "upgrade"
+
+
+class Work(msgspec.Struct, frozen=True, omit_defaults=True):
+    """The operation that goes through the fleet, as its controller has confirmed it.  Whoever follows goes on
+    with what has no outcome.
+    """
+
+    name: str  # drawn once: parts are taken under it
+    verb: Verb
+    by: str
+    idents: tuple[str, ...]  # in the order in which they are begun
+    version: str = ""
+    at_once: int = 1
+    outcomes: dict[str, str] = {}  # by instance, of those that came to an end
+    ended: str = ""  # done, or given up; "": it goes on, or is halted
+
+    @property
+    def left(self) -> tuple[str, ...]:
+        return tuple(ident for ident in self.idents if ident not in self.outcomes)
+
+
+def encoded(record: Instance | Part | Halt | Work) -> bytes:
     return msgspec.json.encode(record)
 
 
--- a/heronreel/fleet/operation.py
+++ b/heronreel/fleet/operation.py
@@ -93,9 +93,8 @@
     await client.ask(Txn((), (Put(RULES, rules_encoded(rules)), Put(REGISTER, b"rules"))))
 
 
-async def status(client: Client) -> dict[str, Any]:
+def status_of(now: Account) -> dict[str, Any]:
     """Rows for people and programs."""
-    now = await account(client)
     return {
         "rules": [
             {
@@ -108,7 +107,7 @@
             {
                 "instance": ident, "zone": i.zone, "group": i.group, "pool": i.pool,
                 "condition": i.condition.value, "capacity": i.capacity, "serves": i.serves,
-                "looked": i.looked, "owner": i.owner, "part": _part(now, ident),
+                "looked": i.looked, "owner": i.owner, "version": i.version, "part": _part(now, ident),
             }
             for ident, i in sorted(now.instances.items())
         ],
--- a/heronreel/fleet/owner.py
+++ b/heronreel/fleet/owner.py
@@ -120,6 +120,7 @@
         return Instance(
             Kind.PROXY, row.name, row.zone, row.group, "", row.capacity, condition,
             owner=self.machine.agent.name, start=start, looked=looked, number=number,
+            version="" if process is None else process.version,
         )  # fmt: skip
 
     # -- the core's actions
--- a/heronreel/fleet/taking.py
+++ b/heronreel/fleet/taking.py
@@ -27,7 +27,7 @@
     TxnDone,
 )
 from heronreel.fleet.account import READ, Account, Standing, read
-from heronreel.fleet.model import REGISTER, Condition, Instance, Part, encoded
+from heronreel.fleet.model import HALT, REGISTER, Condition, Halt, Instance, Part, encoded
 
 
 class Guards(NamedTuple):
@@ -37,6 +37,7 @@
     losses: bool = True  # what is lost or unknown counts as out
     evidence: bool = True  # a part is given back only on a look after the last act
     entered: bool = True  # and only where the owner knows the number by then
+    halted: bool = True  # nothing is taken while a halt stands
 
 
 ALL = Guards()
@@ -54,6 +55,15 @@
     against: tuple[Standing, ...]
     others: tuple[Part, ...]
     unheard: tuple[str, ...]
+    halted: Halt | None = None
+
+    def __str__(self) -> str:
+        told = [str(standing) for standing in self.against]
+        told += [f"{part.ident} is taken: {part.why} by {part.by}" for part in self.others]
+        told += [f"{ident}: nobody told of it" for ident in self.unheard]
+        if self.halted:
+            told.append(f"halted by {self.halted.by}: {self.halted.why}")
+        return "; ".join(told)
 
 
 class Back(NamedTuple):
@@ -190,8 +200,9 @@
         seen = account if self.guards.losses else _blind(account)
         against = tuple(seen.against(wanted))
         unheard = tuple(account.unheard(wanted))
-        if others or against or unheard:
-            return self._settled(Refused(against, others, unheard))
+        halted = account.halted if self.guards.halted else None
+        if others or against or unheard or halted:
+            return self._settled(Refused(against, others, unheard, halted))
         puts: list[Operation] = []
         for ident in wanted:
             part = Part(
@@ -238,6 +249,14 @@
     return msgspec.structs.replace(part, operation=operation, by=by, number=number)
 
 
+def halting(halt: Halt | None) -> Txn:
+    """Put a halt in force, or lift it.  With the register, so that a part that was about to be taken on what
+    was read before is not.
+    """
+    change = DeleteRange(HALT) if halt is None else Put(HALT, encoded(halt))
+    return Txn((), (change, Put(REGISTER, b"halt")))
+
+
 def told(register: int, instance: Instance) -> Txn:
     """An owner tells of a look at its instance; done only while the register is as it was before the look,
     so that a look is never told over a newer one.
--- a/tests/test_fleet_account.py
+++ b/tests/test_fleet_account.py
@@ -33,7 +33,11 @@
 SMALL = Budget(looks=1, asks=7)
 
 
-@pytest.mark.parametrize("budget", [SMALL, Budget(losses=1, looks=1, asks=4)], ids=["late", "lost"])
+@pytest.mark.parametrize(
+    "budget",
+    [SMALL, Budget(losses=1, looks=1, asks=4), Budget(looks=1, asks=4, halts=1)],
+    ids=["late", "lost", "halted"],
+)
 def test_in_every_order_no_more_are_out_than_may_be(budget: Budget) -> None:
     found = explore(AccountWorld(budget, Guards()), 60_000)
     print(found)
@@ -48,8 +52,10 @@
         (Budget(looks=1, asks=8), TOOK, {"ordered": False}),
         (Budget(looks=1, asks=8, deaths=1), TOOK, {"entered": False}),
         (Budget(looks=1, asks=8), TOOK, {"evidence": False, "entered": False}),
+        (Budget(looks=0, asks=4, halts=1), (), {"halted": False}),
+        (Budget(looks=0, asks=4, halts=1), (), {"register": False}),
     ],
-    ids=["register", "losses", "ordered", "entered", "evidence"],
+    ids=["register", "losses", "ordered", "entered", "evidence", "halted", "halted and register"],
 )
 def test_without_a_guard_more_are_out(
     budget: Budget, prefix: tuple[str, ...], without: dict[str, bool]
@@ -240,4 +246,4 @@
 
     told = [(i.key, msgspec.json.encode(i)) for i in rows.values()]
     names = [(PRESENT_PREFIX + name.encode(), b"") for name in present]
-    return found((REGISTER, b"")), found(), found(*told), found(), found(*names)
+    return found((REGISTER, b"")), found(), found(*told), found(), found(), found(*names)
--- a/tests/test_fleet_agent_processes.py
+++ b/tests/test_fleet_agent_processes.py
@@ -27,11 +27,19 @@
 class Fleet:
     """One agent with two proxies on files of their own."""
 
-    def __init__(self, harness: Harness, folder: Path, backend: str) -> None:
+    def __init__(
+        self,
+        harness: Harness,
+        folder: Path,
+        backend: str,
+        agent: str = "m1",
+        names: tuple[str, ...] = ("p1", "p2"),
+    ) -> None:
+        self.name = agent
         self.harness = harness
         self.folder = folder
         self.address = f"127.0.0.1:{free_port()}"
-        self.ports = {name: free_port() for name in ("p1", "p2")}
+        self.ports = {name: free_port() for name in names}
         for name, port in self.ports.items():
             (folder / f"{name}.toml").write_text(f"""
 [[listeners]]
@@ -51,14 +59,14 @@
 """)
         run = [sys.executable, "-m", "heronreel.cli", "serve", str(folder / "{name}.toml")]
         rows = "".join(
-            f'[[instances]]\nname = "{name}"\nlisten = "127.0.0.1:{port}"\nzone = "z"\n'
+            f'[[instances]]\nname = "{name}"\nlisten = "127.0.0.1:{port}"\nzone = "{agent}"\n'
             for name, port in self.ports.items()
         )
         group = ", ".join(f'"{address}"' for address in harness.addresses)
         self.text = f"""
 [agent]
-name = "m1"
-folder = "{folder / "agent"}"
+name = "{agent}"
+folder = "{folder / agent}"
 address = "{self.address}"
 group = [{group}]
 lease_s = 2
@@ -72,11 +80,11 @@
 run = ["false"]
 {rows}
 """
-        (folder / "agent.toml").write_text(self.text)
+        (folder / f"{agent}.toml").write_text(self.text)
 
     async def agent(self, **env: str) -> Process:
         process = await self.harness.run(
-            "agent", "heronreel.cli", "agent", str(self.folder / "agent.toml"), **env
+            self.name, "heronreel.cli", "agent", str(self.folder / f"{self.name}.toml"), **env
         )
         await process.line('"listens"')
         return process
