A late watch that is heard again is held to its next line; a moved agent is called once

Seen in reading the change again: data_received took a late watch for good but left the timer of a late one running, so a silence right after was looked at 5.5 s after its last line and not 2.5, beyond the 6 s with spread and answer. settle began two calls where a new file moved discovery and was the first to push. dykemux/discovery.py: the timer begins anew; one call. Both have a test that fails without (tests/test_watch.py); the pause's two guards in asking.py get theirs (tests/test_asking.py).

--- a/dykemux/discovery.py
+++ b/dykemux/discovery.py
@@ -146,15 +146,14 @@
 
     def settle(self, address: tuple[str, int], pushed: bool) -> None:
         """A new configuration: ask there from now on; at once, if there is a watch to move."""
-        moved, self.address = address != self.address, address
-        if pushed != self.pushed:
-            self.pushed = pushed
-            if pushed:
-                self.start()
-            elif not self._watches():
-                self.tell(Lost.ENDED)  # from now on somebody else paces the calls
+        moved, turned = address != self.address, pushed != self.pushed
+        self.address, self.pushed = address, pushed
         if moved and any(call.stream for call in self.calls):
             self._begin()
+        if turned and pushed:
+            self.start()
+        elif turned and not self._watches():
+            self.tell(Lost.ENDED)  # from now on somebody else paces the calls
 
     def watch(self) -> None:
         """Begin a watch, unless there is a good one.  Late ones go on until one is answered, so that no
@@ -245,7 +244,11 @@
         self.transport.write(head.encode())
 
     def data_received(self, data: bytes) -> None:
-        self.heard, self.late = time.monotonic(), False
+        self.heard = time.monotonic()
+        if self.late:  # its next silence is as long as any other's
+            self.late = False
+            self.timer.cancel()
+            self.timer = self.owner.loop.call_later(BEAT_S, self._check)
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -117,6 +117,7 @@
 
 def test_a_late_watch_is_asked_for_soon_and_a_service_that_refuses_seldom() -> None:
     """What a late one misses counts as told within 6 s of its last line; a refused call is good for 40 s."""
+    soonest = WITHIN_MS
     for seed in range(100):
         asking, draw = Asking(WITHIN_MS), random.Random(seed)
         asking.begin(draw)
@@ -127,6 +128,13 @@
         asking.told(20.0)
         wait = asking.failed(2_520.0, draw, Lost.LATE)
         assert wait is not None and 0.0 <= wait <= 2_000.0, seed
+        soonest = min(soonest, wait)
+    assert soonest < 100.0  # what has passed since the call is taken off
+    asking = Asking(60_000.0)
+    for number in range(6):  # a service that swallows all of them
+        asking.asks(number * 3_100.0)
+        wait = asking.failed((number + 1) * 3_100.0, draw, Lost.LATE)
+    assert wait is not None and wait > 5_000.0
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -296,6 +296,33 @@
     assert calls <= 9 * len(SEEDS), calls / len(SEEDS)
 
 
+def test_a_late_watch_that_is_heard_again_and_falls_silent_is_asked_for_in_time(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    for seed in SEEDS:
+        play = Play(tmp_path, monkeypatch, "ask", 0.02, seed)
+        play.service.beat_s = 2.55
+        play.loop.run(2.0)
+        at = play.service.calls[0] + 4.56  # right after its second line, the first that is late
+        play.at(at, play.service.fall_silent)
+        play.at(at + 0.001, play.service.leave)
+        late = play.knows_at(at + 30.0) - at - TOLD_S
+        assert late <= 0.0, (f"{late:.2f} s late", "seed", seed)
+
+
+def test_a_new_file_that_moves_an_agent_and_is_the_first_to_name_one_makes_one_call(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    play = Play(tmp_path, monkeypatch, "ask", 0.02, 1)
+    play.loop.run(4.0)
+    before = len(play.service.calls)
+    settings = play.config["settings"] | {"Discovery": "push"}
+    play.write(play.config | {"discovery": "127.0.0.1:2", "settings": settings})
+    play.proxy.reload(load(play.environ))
+    play.loop.run(5.0)
+    assert len(play.service.calls) == before + 1
+
+
 @pytest.mark.parametrize("ends", ["silent", "reset"])
 def test_many_watches_that_end_at_once_make_no_greater_wave_than_the_start(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, ends: str
