One piece for changes of the account, a group's answers, what serves, and a command's options

Found in reading the change again. Three copies of a core's way to an answer (duties, counter, operations): Client.answer. Five transactions on the register written out: fleet.taking.changing. Three lists of what serves and of what brings back: Condition.serves, Verb.brings_back. The controller's look for unfinished work twice, and a table of steps nobody read. Behaviour as it was, assertions as they were.

--- a/heronreel/cli/fleet.py
+++ b/heronreel/cli/fleet.py
@@ -16,6 +16,15 @@
 HALTED, REFUSED, LEFT = 1, 3, 4  # exit codes; 0 is done
 
 
+def _of_group(command: Any) -> Any:
+    """Which group a command speaks to."""
+    command = click.option("--members", help="Without a file: a=ADDRESS,b=ADDRESS,c=ADDRESS.")(command)
+    return click.option("--group", "file", help="The group's file.")(command)
+
+
+_by = click.option("--by", default=getpass.getuser, help="Who you are, for others.", show_default="your name")
+
+
 @click.group("fleet")
 def fleet_command() -> None:
     """What of the fleet is out, and what more may be."""
@@ -23,8 +32,7 @@
 
 @fleet_command.command("allow")
 @click.argument("allowances")
-@click.option("--group", "file", help="The group's file.")
-@click.option("--members", help="Without a file: a=ADDRESS,b=ADDRESS,c=ADDRESS.")
+@_of_group
 def allow_command(allowances: str, file: str | None, members: str | None) -> None:
     """Put a file of allowances in force, whole or not at all.
 
@@ -44,8 +52,7 @@
 
 
 @fleet_command.command("status")
-@click.option("--group", "file", help="The group's file.")
-@click.option("--members", help="Without a file: a=ADDRESS,b=ADDRESS,c=ADDRESS.")
+@_of_group
 @click.option("--json", "as_json", is_flag=True, help="JSON on standard output.")
 def status_command(file: str | None, members: str | None, as_json: bool) -> None:
     """Every allowance with what it is used for, what goes on, and every instance with who has taken it out.
@@ -123,16 +130,8 @@
 
 
 def _options(command: Any) -> Any:
-    for option in (
-        click.option("--group", "file", help="The group's file."),
-        click.option("--members", help="Without a file: a=ADDRESS,b=ADDRESS,c=ADDRESS."),
-        click.option(
-            "--by", default=getpass.getuser, help="Who you are, for others.", show_default="your name"
-        ),
-        click.option("--wait", default=15.0, help="Seconds to wait for another to let the fleet go."),
-    ):
-        command = option(command)
-    return command
+    wait = click.option("--wait", default=15.0, help="Seconds to wait for another to let the fleet go.")
+    return _of_group(_by(wait(command)))
 
 
 EXITS = """
@@ -199,9 +198,8 @@
 
 
 @fleet_command.command("halt")
-@click.option("--group", "file", help="The group's file.")
-@click.option("--members", help="Without a file: a=ADDRESS,b=ADDRESS,c=ADDRESS.")
-@click.option("--by", default=getpass.getuser, help="Who you are, for others.", show_default="your name")
+@_of_group
+@_by
 @click.option("--why", required=True, help="For whoever finds the fleet halted.")
 def halt_command(file: str | None, members: str | None, by: str, why: str) -> None:
     """No instance is taken out by anybody from now on, until `resume`; what is under way comes to its end.
@@ -215,8 +213,7 @@
 
 
 @fleet_command.command("resume")
-@click.option("--group", "file", help="The group's file.")
-@click.option("--members", help="Without a file: a=ADDRESS,b=ADDRESS,c=ADDRESS.")
+@_of_group
 def resume_command(file: str | None, members: str | None) -> None:
     """Lift the halt. What was halted goes on with `go-on`.
 
--- a/heronreel/coordination/client.py
+++ b/heronreel/coordination/client.py
@@ -18,6 +18,7 @@
 
 from heronreel.coordination import gateway
 from heronreel.coordination.model import (
+    Answer,
     Event,
     Failure,
     KeepAlive,
@@ -101,6 +102,15 @@
                 await asyncio.sleep(min(pause, max(0.0, until - loop.time())))
         raise refused
 
+    async def answer(self, request: Request, seconds: float) -> Answer:
+        """As `ask`, for a core that is told of a refusal as of any other answer."""
+        try:
+            return await self.ask(request, max(0.01, seconds))
+        except Refused as refused:
+            return refused
+        except (ValueError, TypeError) as error:
+            return Refused(Failure.UNKNOWN, repr(error))
+
     async def _ask(self, address: str, request: Request, seconds: float) -> Result:
         url = f"http://{address}{gateway.path_of(request)}"
         try:
--- a/heronreel/coordination/duties.py
+++ b/heronreel/coordination/duties.py
@@ -16,7 +16,7 @@
 from heronreel.coordination.client import Client
 from heronreel.coordination.holder import HELD_PREFIX, PRESENT_PREFIX, Ask, Claim
 from heronreel.coordination.holding import Holding
-from heronreel.coordination.model import Answer, Failure, Range, RangeDone, Refused, after
+from heronreel.coordination.model import Answer, Range, RangeDone, Refused, after
 from heronreel.coordination.tasks import (
     Do,
     Left,
@@ -232,12 +232,7 @@
         return LOOK_S
 
     async def _ask(self, ask: Ask) -> Answer:
-        try:
-            return await self.client.ask(ask.request, max(0.01, ask.until - self.holding.now()))
-        except Refused as refused:
-            return refused
-        except (ValueError, TypeError) as error:
-            return Refused(Failure.UNKNOWN, repr(error))
+        return await self.client.answer(ask.request, ask.until - self.holding.now())
 
     async def _do(self, task: Task, do: Do, claim: Claim) -> bool:
         """One step, in its turn; whether it was done.  The number is looked at again once its turn has
--- a/heronreel/counting/counter.py
+++ b/heronreel/counting/counter.py
@@ -13,7 +13,7 @@
 from heronreel.coordination.client import Client
 from heronreel.coordination.clock import Points
 from heronreel.coordination.holder import PRESENT_PREFIX, Ask, names_there
-from heronreel.coordination.model import Answer, Failure, Range, RangeDone, Refused, after
+from heronreel.coordination.model import Answer, Range, RangeDone, Refused, after
 from heronreel.counting.book import FAILED, REFUSED, SERVED
 from heronreel.counting.closing import Closing, Outcome
 from heronreel.counting.files import OpenBook, Shelf
@@ -245,12 +245,7 @@
 
     async def _ask(self, ask: Ask) -> Answer:
         assert self.client is not None
-        try:
-            return await self.client.ask(ask.request, max(0.01, ask.until - self.now()))
-        except Refused as refused:
-            return refused
-        except (ValueError, TypeError) as error:
-            return Refused(Failure.UNKNOWN, repr(error))
+        return await self.client.answer(ask.request, ask.until - self.now())
 
 
 async def close(client: Client, step: int, number: int, by: str, points: Points) -> None:
--- a/heronreel/fleet/account.py
+++ b/heronreel/fleet/account.py
@@ -87,7 +87,7 @@
         if ident in self.parts:
             return True
         instance = self.instances.get(ident)
-        return instance is None or instance.condition not in (Condition.SERVING, Condition.COLD)
+        return instance is None or not instance.condition.serves
 
     def standings(self, taking: Collection[str] = ()) -> list[Standing]:
         """Every rule over every value of its scope, as it would be with those taken as well."""
--- a/heronreel/fleet/controller.py
+++ b/heronreel/fleet/controller.py
@@ -25,10 +25,10 @@
 from heronreel.coordination.model import Compare, Put, Range, RangeDone, Relation, Target, Txn, TxnDone
 from heronreel.coordination.model import Refused as NotDone
 from heronreel.fleet.account import Account
-from heronreel.fleet.model import REGISTER, WORK, Halt, Instance, Kind, Verb, Work, encoded
+from heronreel.fleet.model import WORK, Halt, Instance, Kind, Verb, Work, encoded
 from heronreel.fleet.operation import Operation, account
 from heronreel.fleet.step import Action, Adopt, End, Give, Limits, Said, Step, Take, Tell
-from heronreel.fleet.taking import Back, Fenced, Refused, Taken, Waiting, halting, take_over
+from heronreel.fleet.taking import Back, Fenced, Refused, Taken, Waiting, changing, halting, take_over
 
 TASK = "fleet"  # whoever holds it is the controller
 LOOK_S = 0.2  # between two readings of the account
@@ -103,7 +103,6 @@
         self.work: Work
         self.account: Account
         self.writing = asyncio.Lock()
-        self.steps: dict[str, Step] = {}
         self.stops = False  # nothing more is begun
 
     async def run(self, verb: Verb, words: Iterable[str], version: str, at_once: int, wait_s: float) -> Work:
@@ -114,7 +113,7 @@
             if before is not None and not before.ended:
                 raise Busy(f"{_told(before)} goes on or is halted: go on with it, or give it up")
             self.account = await account(self.client)
-            if self.account.halted and verb not in (Verb.START, Verb.UNDRAIN):
+            if self.account.halted and not verb.brings_back:
                 raise ValueError(f"halted by {self.account.halted.by}: {self.account.halted.why}")
             idents = selected(self.account, words)
             if not idents:
@@ -126,10 +125,7 @@
     async def go_on(self, wait_s: float) -> Work:
         """Take up what another began.  Raises as `run`."""
         async with self.holding:
-            await self._hold(wait_s)
-            before = await work_of(self.client)
-            if before is None or before.ended:
-                raise ValueError("nothing goes on")
+            before = await self._found(wait_s)
             self.account = await account(self.client)
             await self._write(before)  # fenced: whoever had it writes no more
             return await self._run()
@@ -139,13 +135,18 @@
         Raises as `run`.
         """
         async with self.holding:
-            await self._hold(wait_s)
-            before = await work_of(self.client)
-            if before is None or before.ended:
-                raise ValueError("nothing goes on")
+            before = await self._found(wait_s)
             await self._write(msgspec.structs.replace(before, ended="given up"))
             return self.work
 
+    async def _found(self, wait_s: float) -> Work:
+        """What another began and did not end, once the fleet is ours."""
+        await self._hold(wait_s)
+        work = await work_of(self.client)
+        if work is None or work.ended:
+            raise ValueError("nothing goes on")
+        return work
+
     @property
     def client(self) -> Client:
         return self.holding.client
@@ -209,18 +210,16 @@
         while True:
             try:
                 self.account = await account(self.client)
-                self.stops = self.stops or (self.account.halted is not None and not self._brings_back())
+                if self.account.halted and not self.work.verb.brings_back:
+                    self.stops = True
             except (NotDone, msgspec.DecodeError):
                 pass
             await asyncio.sleep(LOOK_S)
 
-    def _brings_back(self) -> bool:
-        return self.work.verb in (Verb.START, Verb.UNDRAIN)
-
     async def _step(self, ident: str) -> None:
         """One instance to its outcome, which is confirmed.  An outcome that is not what was wanted halts."""
         now, work = self.holding.now, self.work
-        step = self.steps[ident] = Step(work.verb, self._number(), now(), work.version, self.limits)
+        step = Step(work.verb, self._number(), now(), work.version, self.limits)
         told = ""
         actions: list[Action] = []
         while True:
@@ -279,8 +278,7 @@
             if part.operation == self.work.name and part.number == number:
                 return True
             ours = take_over(part, self.work.name, self.by, number)
-            same = Compare(REGISTER, Target.MOD, Relation.EQUAL, seen.register)
-            await self.client.ask(Txn((same,), (Put(ours.key, encoded(ours)), Put(REGISTER, b"over"))))
+            await self.client.ask(changing(seen.register, b"over", Put(ours.key, encoded(ours))))
 
     async def _tell(self, ident: str, number: int, action: Tell) -> Said | str:
         """What its owner says, or why nobody knows."""
@@ -317,7 +315,7 @@
             await self._write(
                 msgspec.structs.replace(self.work, outcomes=self.work.outcomes | {ident: outcome})
             )
-            if not outcome.startswith(GOOD) and not self.stops and not self._brings_back():
+            if not outcome.startswith(GOOD) and not self.stops and not self.work.verb.brings_back:
                 self.stops = True
                 await self._halt(f"{ident} is {outcome}")
 
--- a/heronreel/fleet/model.py
+++ b/heronreel/fleet/model.py
@@ -35,6 +35,10 @@
     FAILED = "failed"  # crashed, refused, or does not come up
     UNKNOWN = "unknown"  # nobody can look
 
+    @property
+    def serves(self) -> bool:
+        return self in (Condition.SERVING, Condition.COLD)
+
 
 class Instance(msgspec.Struct, frozen=True, omit_defaults=True):
     """One proxy or backend, as whoever owns it told last."""
@@ -129,6 +133,11 @@
     RESTART = "restart"
     UPGRADE = "upgrade"
 
+    @property
+    def brings_back(self) -> bool:
+        """What is out by now: it takes nothing of an allowance, and no halt is against it."""
+        return self in (Verb.START, Verb.UNDRAIN)
+
 
 class Work(msgspec.Struct, frozen=True, omit_defaults=True):
     """The operation that goes through the fleet, as its controller has confirmed it.  Whoever follows goes on
--- a/heronreel/fleet/operation.py
+++ b/heronreel/fleet/operation.py
@@ -10,11 +10,11 @@
 from heronreel.coordination.client import Client
 from heronreel.coordination.clock import clock
 from heronreel.coordination.holder import Ask
-from heronreel.coordination.model import Answer, Failure, Put, Txn, TxnDone
+from heronreel.coordination.model import Put, TxnDone
 from heronreel.coordination.model import Refused as NotDone
 from heronreel.fleet.account import READ, Account, read
-from heronreel.fleet.model import REGISTER, RULES, Instance, Rule, rules_encoded
-from heronreel.fleet.taking import Actions, Back, Fenced, Refused, Taken, Taking, Waiting, told
+from heronreel.fleet.model import RULES, Instance, Rule, rules_encoded
+from heronreel.fleet.taking import Actions, Back, Fenced, Refused, Taken, Taking, Waiting, changing, told
 
 Outcome = Taken | Refused | Back | Waiting | Fenced
 
@@ -47,21 +47,13 @@
             for action in actions:
                 if not isinstance(action, Ask):
                     return action
-                answer = await self._ask(action)
+                answer = await self.client.answer(action.request, action.until - self.now())
                 actions = taking.answered(self.now(), action.number, answer)
                 break
             else:
                 await asyncio.sleep(min(max(0.002, taking.wake() - self.now()), 1.0))
                 actions = taking.tick(self.now())
 
-    async def _ask(self, ask: Ask) -> Answer:
-        try:
-            return await self.client.ask(ask.request, max(0.01, ask.until - self.now()))
-        except NotDone as refused:
-            return refused
-        except (ValueError, TypeError) as error:
-            return NotDone(Failure.UNKNOWN, repr(error))
-
 
 async def account(client: Client) -> Account:
     """One reading of all records.  Raises Refused of the coordination, and msgspec.DecodeError."""
@@ -90,7 +82,7 @@
 
 async def allow(client: Client, rules: tuple[Rule, ...]) -> None:
     """Put other allowances in force.  What is out by now stays out, also where it is more than they allow."""
-    await client.ask(Txn((), (Put(RULES, rules_encoded(rules)), Put(REGISTER, b"rules"))))
+    await client.ask(changing(None, b"rules", Put(RULES, rules_encoded(rules))))
 
 
 def status_of(now: Account) -> dict[str, Any]:
--- a/heronreel/fleet/step.py
+++ b/heronreel/fleet/step.py
@@ -25,8 +25,6 @@
     Verb.START: (Want.RUNNING,),
     Verb.UNDRAIN: (Want.RUNNING,),
 }
-BACK = (Verb.START, Verb.UNDRAIN)  # these bring back what is out by now, so they take nothing of an allowance
-SERVES = (Condition.SERVING, Condition.COLD)
 STAYS_OUT = {Verb.DRAIN: "drained", Verb.STOP: "stopped"}
 
 
@@ -144,7 +142,7 @@
             return []
         self.asked = True
         if self.phase is Phase.TAKING:
-            return [Adopt() if self.verb in BACK else Take()]
+            return [Adopt() if self.verb.brings_back else Take()]
         if self.phase is Phase.TELLING:
             return [Tell(self.leg + 1, self.want, self.version)]
         return [Give(self.beyond)]
@@ -160,7 +158,7 @@
 
         A question for the part may be under way; its answer decides.
         """
-        if self.phase is Phase.TAKING and not self.asked and self.verb not in BACK:
+        if self.phase is Phase.TAKING and not self.asked and not self.verb.brings_back:
             return self._end("not begun", now)
         return []
 
@@ -223,7 +221,7 @@
 
     def _is_wanted(self, instance: Instance) -> bool:
         if self.want is Want.RUNNING:
-            return instance.condition in SERVES and self.version in ("", instance.version)
+            return instance.condition.serves and self.version in ("", instance.version)
         gone = self.want is Want.DRAINED or not instance.version  # stopped: there is no process
         return instance.condition is Condition.OUT and gone
 
--- a/heronreel/fleet/taking.py
+++ b/heronreel/fleet/taking.py
@@ -213,10 +213,9 @@
         return self._write(now, account, puts)
 
     def _write(self, now: float, account: Account, operations: list[Operation]) -> Actions:
-        same = Compare(REGISTER, Target.MOD, Relation.EQUAL, account.register)
         self.phase = Phase.WRITING
-        compares = (same,) if self.guards.register else ()
-        return [self._ask(now, Txn(compares, (*operations, Put(REGISTER, self.operation.encode()))))]
+        register = account.register if self.guards.register else None
+        return [self._ask(now, changing(register, self.operation.encode(), *operations))]
 
     def _give(self, now: float, account: Account) -> Actions:
         part = account.parts.get(self.giving)
@@ -230,16 +229,23 @@
             return self._settled(Waiting(self.giving, condition))
         return self._write(now, account, [DeleteRange(part.key)])
 
-
     def _proved(self, instance: Instance | None, part: Part) -> bool:
         """Whether its owner saw the instance serve after all that was done to it."""
-        if instance is None or instance.condition not in (Condition.SERVING, Condition.COLD):
+        if instance is None or not instance.condition.serves:
             return False
         if self.guards.evidence and instance.looked <= max(part.looked, self.beyond):
             return False
         return instance.number >= self.number or not self.guards.entered
 
 
+def changing(register: int | None, word: bytes, *operations: Operation) -> Txn:
+    """A change of the account's records, and of the register with them, so that whatever rests on the records
+    as they were is not done.  It is done itself only while the register is as it was read; None: in any case.
+    """
+    same = () if register is None else (Compare(REGISTER, Target.MOD, Relation.EQUAL, register),)
+    return Txn(same, (*operations, Put(REGISTER, word)))
+
+
 def take_over(part: Part, operation: str, by: str, number: int) -> Part:
     """A part of somebody who is gone, for whoever finds out what became of the instance.  Raises ValueError
     for a number that is not newer.
@@ -250,19 +256,15 @@
 
 
 def halting(halt: Halt | None) -> Txn:
-    """Put a halt in force, or lift it.  With the register, so that a part that was about to be taken on what
-    was read before is not.
-    """
-    change = DeleteRange(HALT) if halt is None else Put(HALT, encoded(halt))
-    return Txn((), (change, Put(REGISTER, b"halt")))
+    """Put a halt in force, or lift it: a part that was about to be taken on what was read before is not."""
+    return changing(None, b"halt", DeleteRange(HALT) if halt is None else Put(HALT, encoded(halt)))
 
 
 def told(register: int, instance: Instance) -> Txn:
     """An owner tells of a look at its instance; done only while the register is as it was before the look,
     so that a look is never told over a newer one.
     """
-    same = Compare(REGISTER, Target.MOD, Relation.EQUAL, register)
-    return Txn((same,), (Put(instance.key, encoded(instance)), Put(REGISTER, b"look")))
+    return changing(register, b"look", Put(instance.key, encoded(instance)))
 
 
 def _blind(account: Account) -> Account:
--- a/tests/serving.py
+++ b/tests/serving.py
@@ -75,6 +75,23 @@
     return "\n".join(parts)
 
 
+def gets_to(backend: str) -> str:
+    """Tables that send every GET to one server."""
+    return f"""
+[[pools]]
+name = "p"
+[[pools.members]]
+name = "m"
+address = "{backend}"
+[[routes]]
+name = "all"
+match = {{ path_prefix = "/", methods = ["GET"] }}
+effect = "safe"
+deadline_ms = 2000
+pool = "p"
+"""
+
+
 def post(path: str, key: str = "", ident: str = "", extra: str = "") -> bytes:
     lines = [f"POST {path} HTTP/1.1", "Host: h", "Content-Length: 4"]
     lines += [f"Idempotency-Key: {key}"] if key else []
--- a/tests/test_counting_processes.py
+++ b/tests/test_counting_processes.py
@@ -22,7 +22,7 @@
 from heronreel.faults.processes import ROOT, Harness, Process
 from heronreel.serve.program import read_report
 from tests.loopback import Backend, answer_of, free_port
-from tests.serving import get
+from tests.serving import get, gets_to
 
 TENANTS = ("etna", "madonie")
 USUAL = ("count", "counted", "seal", "sealed", "ask", "told", "confirm", "confirmed", "close", "closed")
@@ -53,18 +53,7 @@
 embedded = "{embedded}"
 count_s = 0.2
 folder = "{folder / ("counts-" + name)}"
-[[pools]]
-name = "p"
-[[pools.members]]
-name = "m"
-address = "{backend}"
-[[routes]]
-name = "all"
-match = {{ path_prefix = "/", methods = ["GET"] }}
-effect = "safe"
-deadline_ms = 2000
-pool = "p"
-""")
+{gets_to(backend)}""")
     return path
 
 
--- a/tests/test_fleet_agent_processes.py
+++ b/tests/test_fleet_agent_processes.py
@@ -20,6 +20,7 @@
 from heronreel.fleet.operation import account
 from heronreel.routes.reader import BadFile
 from tests.loopback import Backend, free_port
+from tests.serving import gets_to
 
 POINTS = ("order", "ordered", "keep", "kept", "start", "started")
 
@@ -45,18 +46,7 @@
 [[listeners]]
 name = "in"
 address = "127.0.0.1:{port}"
-[[pools]]
-name = "p"
-[[pools.members]]
-name = "m"
-address = "{backend}"
-[[routes]]
-name = "all"
-match = {{ path_prefix = "/", methods = ["GET"] }}
-effect = "safe"
-deadline_ms = 2000
-pool = "p"
-""")
+{gets_to(backend)}""")
         run = [sys.executable, "-m", "heronreel.cli", "serve", str(folder / "{name}.toml")]
         rows = "".join(
             f'[[instances]]\nname = "{name}"\nlisten = "127.0.0.1:{port}"\nzone = "{agent}"\n'
--- a/tests/test_fleet_rolling.py
+++ b/tests/test_fleet_rolling.py
@@ -5,7 +5,6 @@
 import asyncio
 import random
 import re
-import sys
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager, suppress
 from pathlib import Path
@@ -190,22 +189,14 @@
             Fleet(harness, folder, backend, "m1", ("p1", "p2")),
             Fleet(harness, folder, backend, "m2", ("p3", "p4")),
         ]
-        self.group = f"a={harness.addresses[0]}"
         self.most_out = 0
 
-    def words(self, *words: str) -> list[str]:
-        return ["heronreel.cli", "fleet", *words, "--members", self.group]
-
     async def operator(self, *words: str, **env: str) -> Process:
-        return await self.harness.run("operator", *self.words(*words), **env)
+        line = ("heronreel.cli", "fleet", *words, "--members", f"a={self.harness.addresses[0]}")
+        return await self.harness.run("operator", *line, **env)
 
-    async def says(self, *words: str) -> tuple[int, str]:
-        process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", *self.words(*words),
-            stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.STDOUT,
-        )  # fmt: skip
-        told, _ = await process.communicate()
-        return process.returncode or 0, told.decode()
+    async def says(self, *words: str, code: int = 0) -> str:
+        return await asyncio.to_thread(self.harness.said, "fleet", *words, code=code)
 
     async def watch(self) -> None:
         """The judge: what the machines' own tables say, and not the account."""
@@ -250,8 +241,7 @@
             (folder / "allow.toml").write_text(
                 '[[allow]]\nname = "one a zone"\nkind = "proxy"\nscope = "zone"\nmost_out = 1\n'
             )
-            code, told = await fleet.says("allow", str(folder / "allow.toml"))
-            assert code == 0, told
+            await fleet.says("allow", str(folder / "allow.toml"))
             yield fleet
         finally:
             for agent in fleet.agents:
@@ -266,10 +256,10 @@
             judge = asyncio.ensure_future(fleet.watch())
             doomed = await fleet.operator("restart", "p*", "--at-once", "4", HERONREEL_END_AT=point)
             assert await doomed.ended(90) == -9
-            code, told = await fleet.says("restart", "p1", "--by", "ada", "--wait", "20")
-            assert code == 3 and "go on with it, or give it up" in told, told
-            code, told = await fleet.says("go-on", "--by", "ada", "--wait", "20")
-            assert code == 0 and "4 of 4" in told, told
+            told = await fleet.says("restart", "p1", "--by", "ada", "--wait", "20", code=3)
+            assert "go on with it, or give it up" in told, told
+            told = await fleet.says("go-on", "--by", "ada", "--wait", "20")
+            assert "4 of 4" in told, told
             judge.cancel()
             after = await fleet.processes()
             assert all(after[name] != before[name] for name in before)
@@ -287,35 +277,35 @@
         async with two(tmp_path) as fleet:
             rolling = await fleet.operator("restart", "p*")
             await rolling.line("running 1")
-            code, told = await fleet.says("restart", "p2", "--by", "ada", "--wait", "1")
-            assert code == 3 and re.search(r"has the fleet, with restart \w+ by", told), told
-            assert (await fleet.says("halt", "--why", "smoke", "--by", "ada"))[0] == 0
+            told = await fleet.says("restart", "p2", "--by", "ada", "--wait", "1", code=3)
+            assert re.search(r"has the fleet, with restart \w+ by", told), told
+            await fleet.says("halt", "--why", "smoke", "--by", "ada")
             halted_at = len((await account(fleet.client)).parts)
             assert await rolling.ended(60) == 1 and halted_at <= 1
             work = await work_of(fleet.client)
             assert work and work.left and not work.ended
-            code, told = await fleet.says("status")
-            assert code == 0 and "HALTED by ada: smoke" in told and "halted" in told
-            code, told = await fleet.says("go-on", "--by", "ada")
-            assert code == 1 and f"{len(work.left)} not begun" in told, told  # it stands through this as well
-            assert (await fleet.says("resume"))[0] == 0
-            assert (await fleet.says("go-on", "--by", "ada"))[0] == 0
+            told = await fleet.says("status")
+            assert "HALTED by ada: smoke" in told and "halted" in told
+            told = await fleet.says("go-on", "--by", "ada", code=1)
+            assert f"{len(work.left)} not begun" in told, told  # it stands through this as well
+            await fleet.says("resume")
+            await fleet.says("go-on", "--by", "ada")
             # a version that does not run: its first instance halts the rest, and it comes back by a start
-            code, told = await fleet.says("upgrade", "p*", "--to", "bad", "--settle", "4")
-            assert code == 1 and "proxy/p1" in told and "failed" in told, told
+            told = await fleet.says("upgrade", "p*", "--to", "bad", "--settle", "4", code=1)
+            assert "proxy/p1" in told and "failed" in told, told
             now = await account(fleet.client)
             assert now.halted and "proxy/p1 is failed" in now.halted.why and set(now.parts) == {"proxy/p1"}
-            assert (await fleet.says("give-up"))[0] == 0
-            code, told = await fleet.says("start", "p1", "--to", "1")
-            assert code == 0 and "running 1" in told, told
+            await fleet.says("give-up")
+            told = await fleet.says("start", "p1", "--to", "1")
+            assert "running 1" in told, told
             now = await account(fleet.client)
             assert not now.parts and now.halted  # nobody but `resume` lifts it
-            assert (await fleet.says("drain", "p2"))[0] == 3
-            assert (await fleet.says("resume"))[0] == 0
-            assert (await fleet.says("stop", "p2", "p3"))[0] == 3  # no instance has both names
-            assert (await fleet.says("stop", "p2"))[0] == 0
-            code, told = await fleet.says("stop", "p1", "--patience", "1")
-            assert code == 1 and "one a zone: zone m1 2 out" in told, told
+            await fleet.says("drain", "p2", code=3)
+            await fleet.says("resume")
+            await fleet.says("stop", "p2", "p3", code=3)  # no instance has both names
+            await fleet.says("stop", "p2")
+            told = await fleet.says("stop", "p1", "--patience", "1", code=1)
+            assert "one a zone: zone m1 2 out" in told, told
             assert "at most 1 may be" in told
 
     asyncio.run(run())
