A change is known within 6 s of discovery's return, also after refused calls

Ruled out: discovery.py (calls and answers as they should be), the service being full (200 ms a call, six callers). Change: after a first refusal at most 1.5 s, growing by a quarter, for 14 s; then, or where the watch had fallen silent, or where refusals come now at once and now late, the service is full and not down, and waits are long as before. Other failures wait 2.6 s at most.

--- a/flintplank/asking.py
+++ b/flintplank/asking.py
@@ -3,6 +3,10 @@
 The list service is one for all proxies and works through calls in turn.  After a release many calls come
 together, and each that fails comes again: the sum of them must fall until the service has caught up, also
 where it does answer and breaks off at once, or sends what can't be read.
+
+The other bound is the platform's: whatever failed before, a change counts as told 6 s after the service had
+it and could be reached.  So at the worst phase, a call made in the instant before the service is back, the
+sum of what is left of that call, the pause, the connection and the turn stays within them.
 """
 
 from __future__ import annotations
@@ -14,18 +18,26 @@
 FIRST_SHARE = 1.0 / 8.0  # of the time within which a proxy must ask: the first calls spread over it (ours)
 FIRST_MS = 1000.0  # the wait after a first failure; doubled with each further one (ours)
 SPREAD_MS = 2000.0  # over which calls for late watches are spread (ours)
-REFUSED_LEAST = 0.1  # of the time within which a proxy must ask: the shortest wait after a refusal (ours)
-MOST_SHARE = 1.0 / 3.0  # of the time within which a proxy must ask: the longest wait, unless refused (ours)
+MOST_MS, MOST_SHARE = 2600.0, 1.0 / 3.0  # the longest wait, unless refused; of the time for asking (ours)
+AT_ONCE_MS = 500.0  # a refusal before that costs the service nothing, and is like a broken call (ours)
+LONG_FROM, LONG_LEAST = 3, 0.9  # failures from which waits are as long as that, or this share of it (ours)
+# the longest wait after a refusal, growing by a factor, while the service may be down for so long (ours)
+GONE_MS, GONE_GROWTH, GONE_FOR_MS = 1500.0, 1.25, 14_000.0
+FULL_MS = 3500.0  # the first of them, where a silent watch was asked for again: then it has too many calls
+REFUSED_LEAST = 0.4  # of the longest wait (ours)
 
 
 class Asking:
     """One proxy's watch.  One timer for any number of failures, or their calls would add up."""
 
-    __slots__ = ("asked_at", "due", "failures", "told_at", "within_ms")
+    __slots__ = ("asked_at", "due", "failures", "full", "refusals", "refused_at", "told_at", "within_ms")
 
     def __init__(self, within_ms: float) -> None:
         self.within_ms = within_ms
         self.failures = 0
+        self.refusals = 0  # since the last news
+        self.refused_at = 0.0  # the first of them
+        self.full = False  # it is not down but has too many calls, as far as can be told
         self.due = False  # a timer is set
         self.asked_at = 0.0
         self.told_at = -1.0  # last; before `asked_at`: the call was not answered
@@ -44,27 +56,47 @@
 
         Only a watch that lasts ends the back-off: one that breaks off at once is no better than none.  For
         one that is late, what has passed since it was asked for is taken off the pause, as what it misses
-        soon counts as told.  A service that refuses may work through the calls of those who gave up as well,
-        so it answers nobody while all ask faster than it works; it can take one call from everybody within
-        the time in which a proxy must ask, and a failed call is good for four times that.
+        soon counts as told.
         """
         if self.due:
             return None
         self.due = True
-        if lost is Lost.BUSY:
-            return self.within_ms * draw.uniform(REFUSED_LEAST, 1.0)
+        at_once = now - self.asked_at < AT_ONCE_MS
+        if lost is Lost.BUSY and (self.refusals or not at_once):
+            self.full |= at_once  # down, it says so always alike
+            self.refused_at = self.refused_at if self.refusals else now
+            self.refusals += 1
+            return self._refused_ms(now) * draw.uniform(REFUSED_LEAST, 1.0)
+        self.full = lost is Lost.LATE
         since, answered = now - self.asked_at, self.told_at >= self.asked_at
         if answered and (since >= self.most() or lost is Lost.LATE):
             self.failures = 0
         self.failures += 1
-        pause = pause_before(self.failures, min(FIRST_MS, self.most()), self.most()) * draw.uniform(0.5, 1.0)
+        least = 0.5 if self.failures < LONG_FROM else LONG_LEAST
+        most, drawn = self.most(), draw.uniform(least, 1.0)
+        pause = pause_before(self.failures, min(FIRST_MS, most), most) * drawn
         if lost is Lost.LATE:
-            return max(pause - since, min(SPREAD_MS, self.most()) * draw.random())
+            return max(pause - since, min(SPREAD_MS, most) * draw.random())
         return pause
 
+    def _refused_ms(self, now: float) -> float:
+        """The longest wait after a refusal.
+
+        A service that is down and one that has too many calls say the same, 503 after some seconds.  Down, it
+        ended its watches before, and calls cost nothing until it is back: then everybody has to be told soon.
+        Full, it works through the calls of those who gave up as well, and answers nobody while all ask faster
+        than it works; it can take one call from everybody within the time in which a proxy must ask.
+        """
+        if self.full:
+            return self.within_ms if self.refusals > 1 else min(FULL_MS, self.within_ms)
+        if now - self.refused_at > GONE_FOR_MS:
+            return self.within_ms
+        return min(GONE_MS * GONE_GROWTH ** (self.refusals - 1), self.within_ms)
+
     def told(self, now: float) -> None:
         """News came, so the call was answered."""
         self.told_at = now
+        self.refusals, self.full = 0, False
 
     def most(self) -> float:
-        return self.within_ms * MOST_SHARE
+        return min(MOST_MS, self.within_ms * MOST_SHARE)
