No attempt begins for a client that has left; what crosses a close or a window is kept apart

Causes, each shown over real connections by tests/test_crossings.py, which fails without its guard: - A request behind another, and one read after a stall, was sent though its client had closed: reading is paused (Client.on_message_complete) or the end lies behind the request's bytes, and nobody looked. Also where a connection comes up late. They are now read first and answered, with Connection: close after SIGTERM. - An upload that its client broke off counted against the backend (UNREACHABLE); it is NOT_SENT now. Ruled out: retries after a pause and second copies (the module drops the request with ClientGone), the rested link alone (SETTLE_S gave the loop time to see the end, which hid the fault until three links rested).

--- a/dykemux/backends.py
+++ b/dykemux/backends.py
@@ -10,7 +10,6 @@
 import asyncio
 import logging
 import math
-import select
 import time
 from dataclasses import dataclass, field
 from typing import Protocol, cast
@@ -20,6 +19,7 @@
 from dykemux.config import Config
 from dykemux.http1 import BODY_MOST, DATE, HEAD_MOST, OWS, Budget, Headers, Unreadable, end_to_end
 from dykemux.streams import ANSWER_HOLD_MOST, STREAM_BYTES, STREAM_MOST, Upload
+from dykemux.unread import has_come
 from flintplank.interface import Outcome
 
 LEAST_SHARE = 0.45  # of the backends' descriptors that clients may never have
@@ -55,6 +55,7 @@
     budget: Budget
 
     def attempt_ended(self, attempt: Attempt, outcome: Outcome, answer: Answer | None) -> None: ...
+    def is_deserted(self, attempt: Attempt) -> bool: ...
     def stream_began(
         self, attempt: Attempt, link: Link, answer: Answer, length: int | None
     ) -> Taker | None: ...
@@ -114,7 +115,6 @@
         self.connects: set[asyncio.Task[None]] = set()
         self.lent = 0  # descriptors of ours that clients have
         self.starved: dict[Link, None] = {}  # answers that wait for room to be passed on
-        self.poll = select.poll()
 
     def settle(self, config: Config) -> None:
         self.most = config.backend_sockets
@@ -167,7 +167,7 @@
             link = node.idle[place]
             if now - link.idle_at < SETTLE_S:
                 continue
-            if now - link.idle_at < self.idle_s and link.is_quiet():
+            if now - link.idle_at < self.idle_s and not has_come(link.transport):
                 del node.idle[place], self.idle[link]
                 return link
             self.close_link(link)
@@ -207,8 +207,20 @@
             # a connect, or before a stall of this process
             self.rest(link)
             self.end(attempt, Outcome.NOT_SENT)
+        elif self.owner.is_deserted(attempt):
+            # guards the work of backends: the client may have closed while this connection came up, behind
+            # bytes that are not read yet, or while this process stood still
+            self.rest(link)
+            self.end(attempt, Outcome.NOT_SENT)
         else:
             link.send(attempt, now)
+            if link.unsent and attempt.send_by < math.inf:
+                self.loop.call_later(attempt.send_by - now, self._window_closed, attempt)
+
+    def _window_closed(self, attempt: Attempt) -> None:
+        """Guards rule 2: a repeat counts when its last byte arrives, and its backend may read slowly."""
+        if attempt.link and attempt.link.attempt is attempt and attempt.link.unsent:
+            self.give_up(attempt, Outcome.CANCELLED)
 
     def rest(self, link: Link) -> None:
         """Keep a connection for the next attempt, if there can be one."""
@@ -249,7 +261,8 @@
         """Stop waiting.  What was not wholly written can never run: the connection ends with it."""
         link = attempt.link
         if link is None or link.unsent:
-            outcome = Outcome.UNREACHABLE
+            # called off by us, it tells nothing of the backend
+            outcome = Outcome.NOT_SENT if outcome is Outcome.CANCELLED else Outcome.UNREACHABLE
         self.end(attempt, outcome)
         if link is not None and link.attempt is attempt:
             link.transport.abort()
@@ -312,16 +325,6 @@
         if self in self.pool.links:
             self.transport.abort()
 
-    def is_quiet(self) -> bool:
-        """Nothing to read, not even the connection's end."""
-        if self.transport.is_closing():
-            return False
-        number = self.transport.get_extra_info("socket").fileno()
-        self.pool.poll.register(number, select.POLLIN)
-        said = self.pool.poll.poll(0)
-        self.pool.poll.unregister(number)
-        return not said
-
     def send(self, attempt: Attempt, now: float) -> None:
         self.attempt, attempt.link = attempt, self
         self.got, self.size, self.status, self.whole = 0, 0, 0, False
--- a/dykemux/clients.py
+++ b/dykemux/clients.py
@@ -16,6 +16,7 @@
 from collections import deque
 from collections.abc import Callable
 from enum import Enum
+from itertools import islice
 from typing import cast
 
 import httptools
@@ -38,6 +39,7 @@
 )
 from dykemux.proxy import HINT_MOST_US, Ask, Proxy, Request, Router
 from dykemux.streams import HOLD_MOST, LAST_CHUNK, STREAM_MOST, Upload, chunk
+from dykemux.unread import has_come, has_ended
 from flintplank.interface import Effect
 
 BACKLOG = 2048
@@ -51,6 +53,7 @@
 ))  # fmt: skip
 FIELDS_MOST = 100  # header fields of a request
 SMALL_BODY, LARGE_SHARE = 16 << 10, 0.85  # larger bodies leave part of the budget to the small ones
+LOOK_MOST = 16  # connections that are looked at to find one that may be closed
 EARLY_MOST = 8  # requests that a client may send ahead of its answers
 SWEEP_S = 0.2
 SLOWEST = 48e3  # bytes a second that a large body comes on with at the least
@@ -147,11 +150,12 @@
             return True
         # guards usual clients: a crowd that says nothing goes before anyone who has ever asked, so that its
         # size costs no more than its accepts; it might hurt a client that connects long before it asks
-        if (oldest := next(iter(self.silent))) is not client:
+        oldest = self._resting(self.silent)
+        if oldest and oldest is not client:
             oldest.abort()
             return True
-        if self.idle:
-            next(iter(self.idle)).close()
+        if oldest := self._resting(self.idle):
+            oldest.close()
             return True
         if self.proxy.pool.lend(len(self.open) - self.most) >= len(self.open) - self.most:
             return True
@@ -161,6 +165,11 @@
             min(slow, key=lambda other: (other.phase is not Phase.LAST, other.begun), default=client).abort()
         return False
 
+    def _resting(self, clients: dict[Client, None]) -> Client | None:
+        """The first of those that have not just said something; only so many are looked at."""
+        looked_at = islice(clients, LOOK_MOST)
+        return next((client for client in looked_at if not has_come(client.transport)), None)
+
     def closed(self, client: Client) -> None:
         self.open.pop(client, None)
         self.idle.pop(client, None)
@@ -627,6 +636,13 @@
         self.source = None
         self.transport.abort()
 
+    def has_left(self) -> bool:
+        """A client that ends its sending has gone as well, whether its connection is being read or not."""
+        if not has_ended(self.transport):
+            return False
+        self.transport.abort()
+        return True
+
     def _serve_early(self) -> None:
         if self.early and self.request is None and not self.transport.is_closing():
             read = self.early.popleft()
@@ -690,6 +706,11 @@
             self.transport.abort()
 
     def close(self) -> None:
+        """End a connection between requests, unless something has just come: that is read first, and a
+        connection closed over it would be reset under what was answered before.
+        """
+        if has_come(self.transport):
+            return
         self.owner.idle.pop(self, None)
         self.phase, self.last = Phase.LAST, True
         self.due = time.monotonic() + WRITE_S
--- a/dykemux/proxy.py
+++ b/dykemux/proxy.py
@@ -63,6 +63,10 @@
         """That answer can't be finished."""
         return None
 
+    def has_left(self) -> bool:
+        """It has closed its connection, whether or not that was read; then nothing is said to it any more."""
+        return False
+
 
 @dataclass(slots=True)
 class Ask:
@@ -331,9 +335,18 @@
     def _since(self, attempt: Attempt) -> float:
         return (time.monotonic() - attempt.started) * 1000.0
 
+    def is_deserted(self, attempt: Attempt) -> bool:
+        """Whether nobody waits for an attempt that is about to be sent."""
+        request = cast(Request, attempt.request)
+        client = request.client
+        if client is None or not client.has_left():
+            return False
+        self.client_gone(request)
+        return True
+
     def client_gone(self, request: Request) -> None:
         """Nobody waits any more.  What is out goes on to its deadline: giving up stops no backend's work, and
-        the connection is worth keeping.
+        the connection is worth keeping.  What was not wholly written has not begun, and never does.
         """
         if request.over:
             return
@@ -343,8 +356,8 @@
             self.pool.give_up(stream, api.Outcome.CANCELLED)
             return
         self.tell(api.ClientGone(request.ident))
-        if upload and not upload.whole:  # it can't be finished, so it never runs
-            for attempt in request.attempts:
+        for attempt in [attempt for attempt in request.attempts if not attempt.ended]:
+            if (upload and not upload.whole) or (attempt.link and attempt.link.unsent):
                 self.pool.give_up(attempt, api.Outcome.CANCELLED)
 
     def _deadline(self, request: Request) -> None:
--- a/heronreel/counting/counter.py
+++ b/heronreel/counting/counter.py
@@ -68,6 +68,9 @@
         self.client.finish()
         self.counter.handed_over(self, SERVED)
 
+    def has_left(self) -> bool:
+        return bool(self.client.has_left())
+
     def cut(self) -> None:
         self.client.cut()
         self.counter.handed_over(self, FAILED)
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -34,21 +34,28 @@
     "Limits": {"MostTries": 4, "ConnectTimeoutMs": 1000.0, "ConnIdleMs": 15000.0},
     "Rules": {"MustAskInMs": 800.0, "DrainGraceMs": 500.0},
 }  # fmt: skip
+TCP_STATES = {"established": "01", "connecting": "02", "ended by its peer": "08"}
 Talk = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
 
 class Listener:
     """A server on an ephemeral port; `talk` is one connection's whole life."""
 
-    def __init__(self, talk: Talk) -> None:
+    def __init__(self, talk: Talk, narrow: bool = False) -> None:
         self.talk = talk
+        self.narrow = narrow  # the kernels on both sides hold little that is not read
         self.address = ""
         self.opened = 0
         self.writers: list[asyncio.StreamWriter] = []
         self.ends: dict[asyncio.StreamWriter, asyncio.Event] = {}
 
     async def __aenter__(self) -> Self:
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        listener = socket.create_server(("127.0.0.1", 0))
+        if self.narrow:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 536)
+        limit = 4096 if self.narrow else 65536
+        self.server = await asyncio.start_server(self._serve, sock=listener, limit=limit)
         host, port = self.server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
         return self
@@ -94,12 +101,14 @@
         super().__init__(self._answer)
         self.reply = reply or (lambda head, body: ok(head["x-request-id"].encode()))
         self.seen: list[str] = []
+        self.carriers: dict[str, asyncio.StreamWriter] = {}  # by request, for a later answer
         self.asked = asyncio.Event()
 
     async def _answer(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while True:
             head, body = await request_of(reader)
             self.seen.append(head["x-request-id"])
+            self.carriers[head["x-request-id"]] = writer
             self.asked.set()
             answer = self.reply(head, body)
             if answer is not None:
@@ -178,6 +187,15 @@
     def descriptors(self) -> int:
         return len(os.listdir(f"/proc/{self.process.pid}/fd"))
 
+    def sockets(self, state: str) -> int:
+        """How many of its TCP sockets the kernel has in that state."""
+        held = set[str]()
+        for number in os.listdir(f"/proc/{self.process.pid}/fd"):
+            with suppress(OSError):
+                held.add(os.readlink(f"/proc/{self.process.pid}/fd/{number}"))
+        rows = [line.split() for line in Path("/proc/net/tcp").read_text().splitlines()[1:]]
+        return sum(row[3] == TCP_STATES[state] and f"socket:[{row[9]}]" in held for row in rows)
+
     async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         return await asyncio.open_connection(self.host, self.port)
 
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,280 @@
+"""Two events that cross on one connection, each time in the order that hurts.
+
+An order is made, not waited for: by what a backend has read, by a full kernel buffer, or by the program
+stopped and continued, which then finds all that came meanwhile at once, its timers first.
+"""
+
+import asyncio
+import signal
+import socket
+import struct
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.loopback import (
+    SETTINGS,
+    Backend,
+    Discovery,
+    Listener,
+    Node,
+    answer_of,
+    configuration,
+    entry,
+    head_of,
+    node,
+    ok,
+    one_behind,
+    request,
+    run,
+)
+
+LONG = b"x" * (500 << 10)  # held whole by the proxy, and more than a backend's kernel takes unread
+
+
+async def serves(proxy: Node) -> bool:
+    """What it tells the front."""
+    reader, writer = await proxy.connect()
+    writer.write(b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n")
+    status, _ = await answer_of(reader)
+    writer.close()
+    return status == "200"
+
+
+async def stopped(proxy: Node) -> None:
+    proxy.signal(signal.SIGSTOP)
+    while "T (stopped)" not in Path(f"/proc/{proxy.process.pid}/status").read_text():
+        await asyncio.sleep(0.001)
+
+
+async def rested(proxy: Node, backend: Backend) -> None:
+    """Three connections to the backend rest, so that further attempts are written at once."""
+    backend.seen.clear()
+    asked = [asyncio.create_task(proxy.ask(f"w{number}")) for number in range(3)]
+    while len(backend.seen) < 3:
+        await asyncio.sleep(0.001)
+    for carrier in list(backend.carriers.values())[-3:]:
+        carrier.write(ok(b"done"))
+    await asyncio.gather(*asked)
+    backend.seen.clear()
+    await asyncio.sleep(0.02)  # each is left alone for some milliseconds after its answer
+
+
+async def leaves(writer: asyncio.StreamWriter, how: str) -> None:
+    if how == "ends its sending":
+        writer.write_eof()
+        return
+    if how == "closes":
+        writer.close()
+    else:
+        option = struct.pack("ii", 1, 0)  # on, and no time to linger: a reset
+        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+        writer.transport.abort()
+    await writer.wait_closed()
+
+
+LEAVING = pytest.mark.parametrize("how", ["closes", "resets", "ends its sending"])
+
+
+@LEAVING
+def test_a_request_behind_another_is_not_sent_once_its_client_has_left(tmp_path: Path, how: str) -> None:
+    async def talk() -> None:
+        backend = Backend(lambda head, body: None if head["x-request-id"][0] in "aw" else ok(b"done"))
+        async with one_behind(tmp_path, backend) as proxy:
+            await rested(proxy, backend)
+            _, writer = await proxy.connect()
+            writer.write(request("a1") + request("a2"))
+            while backend.seen != ["a1"]:
+                await asyncio.sleep(0.001)
+            await leaves(writer, how)
+            assert await proxy.ask("b1") == ("200", b"done")  # what the kernel knew of has had its turn
+            backend.carriers["a1"].write(ok(b"done"))
+            assert await proxy.ask("b2") == ("200", b"done")
+            assert backend.seen == ["a1", "b1", "b2"]
+
+    run(talk())
+
+
+@LEAVING
+def test_a_request_that_is_read_after_its_client_has_left_is_not_sent(tmp_path: Path, how: str) -> None:
+    async def talk() -> None:
+        backend = Backend(lambda head, body: None if head["x-request-id"][0] == "w" else ok(b"done"))
+        async with one_behind(tmp_path, backend) as proxy:
+            resting = await proxy.connect()
+            resting[1].write(request("a1"))
+            assert await answer_of(resting[0]) == ("200", b"done")
+            await rested(proxy, backend)
+            await stopped(proxy)
+            resting[1].write(request("a2"))
+            _, fresh = await proxy.connect()
+            fresh.write(request("a3"))
+            await asyncio.gather(resting[1].drain(), fresh.drain())
+            await leaves(resting[1], how)
+            await leaves(fresh, how)
+            proxy.signal(signal.SIGCONT)
+            assert await proxy.ask("b1") == ("200", b"done")
+            assert backend.seen == ["b1"]
+
+    run(talk())
+
+
+class Late:
+    """A backend whose connections come up only once it is told to `go`."""
+
+    def __init__(self, address: str) -> None:
+        self.address, self.go, self.came = address, asyncio.Event(), list[bytes]()
+        self.tasks: list[asyncio.Task[None]] = []
+
+    async def serve(self, listener: socket.socket) -> None:
+        await self.go.wait()
+        while True:
+            connection, _ = await asyncio.get_running_loop().sock_accept(listener)
+            self.tasks.append(asyncio.create_task(self._answer(connection)))
+
+    async def _answer(self, connection: socket.socket) -> None:
+        reader, writer = await asyncio.open_connection(sock=connection)
+        while data := await reader.read(1 << 16):
+            self.came.append(data)
+            writer.write(ok(b"done"))
+
+
+@asynccontextmanager
+async def late_backend() -> AsyncIterator[Late]:
+    """Until it is told, the kernel's table of its connections is full, and drops who asks for one."""
+    with socket.socket() as listener, socket.socket() as filler:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        filler.connect(listener.getsockname())
+        listener.setblocking(False)
+        late = Late("{}:{}".format(*listener.getsockname()))
+        task = asyncio.create_task(late.serve(listener))
+        try:
+            yield late
+        finally:
+            task.cancel()
+            for each in late.tasks:
+                each.cancel()
+
+
+def patient(discovery: str, *known: dict[str, Any], **changes: Any) -> dict[str, Any]:
+    """A configuration with other limits, rules or class figures than the usual ones."""
+    made = configuration(discovery, *known)
+    settings = dict(SETTINGS)
+    settings["Categories"] = [klass | changes.get("klass", {}) for klass in settings["Categories"]]
+    settings["Limits"] = settings["Limits"] | changes.get("limits", {})
+    settings["Rules"] = settings["Rules"] | changes.get("rules", {})
+    return made | {"settings": settings | changes.get("settings", {})}
+
+
+@LEAVING
+def test_an_attempt_whose_connection_comes_up_late_is_not_sent_once_its_client_has_left(
+    tmp_path: Path, how: str
+) -> None:
+    """The client has another request behind it, so that the proxy does not read what it does."""
+
+    async def talk() -> None:
+        async with late_backend() as backend, Discovery(entry("b1", backend.address)) as discovery:
+            known = entry("b1", backend.address)
+            config = patient(discovery.address, known, limits={"ConnectTimeoutMs": 20_000.0})
+            async with node(tmp_path, config) as proxy:
+                _, writer = await proxy.connect()
+                writer.write(request("a1") + request("a2"))
+                while not proxy.sockets("connecting"):
+                    await asyncio.sleep(0.005)
+                await leaves(writer, how)
+                backend.go.set()
+                assert await proxy.ask("b1") == ("200", b"done")
+                while len(backend.tasks) < 3:  # the filler's, and those for the two requests
+                    await asyncio.sleep(0.005)
+                for ident in ("b2", "b3"):  # on both of them
+                    assert await proxy.ask(ident) == ("200", b"done")
+                assert not any(b"a1" in data or b"a2" in data for data in backend.came)
+
+    run(talk())
+
+
+class Holding(Listener):
+    """A backend that reads heads and, until it is told, no more; `whole` once a request's last byte came."""
+
+    def __init__(self) -> None:
+        super().__init__(self._hold, narrow=True)
+        self.begun, self.go, self.done, self.whole = (asyncio.Event() for _ in range(4))
+
+    async def _hold(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        head = await head_of(reader)
+        self.begun.set()
+        await self.go.wait()
+        try:
+            await reader.readexactly(int(head["content-length"]))
+            self.whole.set()
+            writer.write(ok(b"late"))
+        finally:
+            self.done.set()
+
+
+@LEAVING
+def test_what_was_not_wholly_written_never_begins_once_its_client_has_left(tmp_path: Path, how: str) -> None:
+    async def talk() -> None:
+        backend = Holding()
+        async with one_behind(tmp_path, backend) as proxy:
+            _, writer = await proxy.connect()
+            writer.write(request("a1", body=LONG))
+            await backend.begun.wait()
+            await leaves(writer, how)
+            await proxy.ask("b1", "none")  # the proxy has read the end by now
+            backend.go.set()
+            await backend.done.wait()
+            assert not backend.whole.is_set()
+
+    run(talk())
+
+
+def test_a_repeat_whose_last_byte_would_come_after_its_window_never_begins(tmp_path: Path) -> None:
+    async def talk() -> None:
+        first, second = Backend(lambda head, body: b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"), Holding()
+        async with first, second:
+            known = [entry("b1", first.address), entry("b2", second.address)]
+            async with Discovery(*known) as discovery:
+                klass = {"RepeatWindowMs": 500.0}
+                config = patient(discovery.address, *known, klass=klass, limits={"ConnectTimeoutMs": 50.0})
+                async with node(tmp_path, config) as proxy:
+                    for number in range(40):  # until one begins at the first of the two
+                        reader, writer = await proxy.connect()
+                        writer.write(request(f"a{number}", body=LONG))
+                        await second.begun.wait()
+                        if first.seen:
+                            break
+                        writer.transport.abort()
+                        second.begun.clear()
+                    assert first.seen
+                    assert (await answer_of(reader))[0] == "502"  # long before its deadline
+                    second.go.set()
+                    await second.done.wait()
+                    assert not second.whole.is_set()
+
+    run(talk())
+
+
+def test_what_comes_on_a_resting_connection_in_the_instant_of_its_close_is_answered(tmp_path: Path) -> None:
+    """After SIGTERM; the program stands still past the moment at which resting connections are closed."""
+
+    async def talk() -> None:
+        async with one_behind(tmp_path, Backend()) as proxy:
+            reader, writer = await proxy.connect()
+            writer.write(request("a1"))
+            assert await answer_of(reader) == ("200", b"a1")
+            proxy.signal(signal.SIGTERM)
+            while await serves(proxy):
+                pass
+            await stopped(proxy)
+            writer.write(request("a2"))
+            await asyncio.sleep(2.0)  # more than new connections are waited for
+            proxy.signal(signal.SIGCONT)
+            assert await answer_of(reader) == ("200", b"a2")
+            assert await reader.read() == b""
+            assert await proxy.process.wait() == 0
+
+    run(talk())
