--- a/flintplank/asking.py
+++ b/flintplank/asking.py
@@ -23,14 +23,15 @@
 LONG_FROM, LONG_LEAST = 3, 0.9  # failures from which waits are as long as that, or this share of it (ours)
 # the longest wait after a refusal, growing by a factor, while the service may be down for so long (ours)
 GONE_MS, GONE_GROWTH, GONE_FOR_MS = 1500.0, 1.25, 14_000.0
-FULL_MS = 3500.0  # the first of them, where a silent watch was asked for again: then it has too many calls
-REFUSED_LEAST = 0.4  # of the longest wait (ours)
+GONE_LEAST, FULL_LEAST = 0.4, 0.1  # of the longest wait; of the time for asking, where it is full (ours)
 
 
 class Asking:
     """One proxy's watch.  One timer for any number of failures, or their calls would add up."""
 
-    __slots__ = ("asked_at", "due", "failures", "full", "refusals", "refused_at", "told_at", "within_ms")
+    __slots__ = (
+        "asked_at", "due", "failures", "full", "heard", "refusals", "refused_at", "told_at", "within_ms",
+    )  # fmt: skip
 
     def __init__(self, within_ms: float) -> None:
         self.within_ms = within_ms
@@ -39,8 +40,9 @@
         self.refused_at = 0.0  # the first of them
         self.full = False  # it is not down but has too many calls, as far as can be told
         self.due = False  # a timer is set
-        self.asked_at = 0.0
-        self.told_at = -1.0  # last; before `asked_at`: the call was not answered
+        self.heard = False  # any call was ever answered
+        self.asked_at = -1.0  # before 0: never
+        self.told_at = -2.0  # last; before `asked_at`: the call was not answered
 
     def begin(self, draw: random.Random) -> float:
         """How long to wait before the first call, ms."""
@@ -66,7 +68,7 @@
             self.full |= at_once  # down, it says so always alike
             self.refused_at = self.refused_at if self.refusals else now
             self.refusals += 1
-            return self._refused_ms(now) * draw.uniform(REFUSED_LEAST, 1.0)
+            return self._refused_ms(now, draw)
         self.full = lost is Lost.LATE
         since, answered = now - self.asked_at, self.told_at >= self.asked_at
         if answered and (since >= self.most() or lost is Lost.LATE):
@@ -79,23 +81,24 @@
             return max(pause - since, min(SPREAD_MS, most) * draw.random())
         return pause
 
-    def _refused_ms(self, now: float) -> float:
-        """The longest wait after a refusal.
+    def _refused_ms(self, now: float, draw: random.Random) -> float:
+        """The wait after a refusal.
 
         A service that is down and one that has too many calls say the same, 503 after some seconds.  Down, it
         ended its watches before, and calls cost nothing until it is back: then everybody has to be told soon.
         Full, it works through the calls of those who gave up as well, and answers nobody while all ask faster
-        than it works; it can take one call from everybody within the time in which a proxy must ask.
+        than it works; it can take one call from everybody within the time in which a proxy must ask, so that
+        nothing narrower than this will do.  Who has never been answered can't tell which it is: after a herd
+        has restarted it is full far more often, and short waits of the restarted alone kept it so.
         """
-        if self.full:
-            return self.within_ms if self.refusals > 1 else min(FULL_MS, self.within_ms)
-        if now - self.refused_at > GONE_FOR_MS:
-            return self.within_ms
-        return min(GONE_MS * GONE_GROWTH ** (self.refusals - 1), self.within_ms)
+        if self.full or not self.heard or now - self.refused_at > GONE_FOR_MS:
+            return self.within_ms * draw.uniform(FULL_LEAST, 1.0)
+        longest = min(GONE_MS * GONE_GROWTH ** (self.refusals - 1), self.within_ms)
+        return longest * draw.uniform(GONE_LEAST, 1.0)
 
     def told(self, now: float) -> None:
         """News came, so the call was answered."""
-        self.told_at = now
+        self.told_at, self.heard = now, self.asked_at >= 0.0
         self.refusals, self.full = 0, False
 
     def most(self) -> float:
