Tests hold the ports that they give out; set-up of the crossings said once

On reading again: patient() had options nobody used, sockets() states nobody asked for, a new file and its reload stood three times (Play.reload). Inferred: node() gave out a port and let it go before the program bound it, so that of twenty started together two could get the same; it is held now, and the log's last lines are shown.

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -11,8 +11,8 @@
 import os
 import socket
 import sys
-from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager, suppress
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from contextlib import ExitStack, asynccontextmanager, contextmanager, suppress
 from pathlib import Path
 from typing import Any, Self
 
@@ -34,7 +34,7 @@
     "Limits": {"MostTries": 4, "ConnectTimeoutMs": 1000.0, "ConnIdleMs": 15000.0},
     "Rules": {"MustAskInMs": 800.0, "DrainGraceMs": 500.0},
 }  # fmt: skip
-TCP_STATES = {"established": "01", "connecting": "02", "ended by its peer": "08"}
+SYN_SENT = "02"  # in the kernel's table
 Talk = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
 
@@ -180,21 +180,23 @@
 
     async def log_line(self, word: str) -> str:
         assert self.process.stderr
+        seen = list[str]()
         while word not in (line := (await self.process.stderr.readline()).decode()):
-            assert line, f"the log ended without {word!r}"
+            assert line, f"the log ended without {word!r}: {seen[-3:]}"
+            seen.append(line)
         return line
 
     def descriptors(self) -> int:
         return len(os.listdir(f"/proc/{self.process.pid}/fd"))
 
-    def sockets(self, state: str) -> int:
-        """How many of its TCP sockets the kernel has in that state."""
+    def connecting(self) -> int:
+        """How many connections of its own have not come up yet."""
         held = set[str]()
         for number in os.listdir(f"/proc/{self.process.pid}/fd"):
             with suppress(OSError):
                 held.add(os.readlink(f"/proc/{self.process.pid}/fd/{number}"))
         rows = [line.split() for line in Path("/proc/net/tcp").read_text().splitlines()[1:]]
-        return sum(row[3] == TCP_STATES[state] and f"socket:[{row[9]}]" in held for row in rows)
+        return sum(row[3] == SYN_SENT and f"socket:[{row[9]}]" in held for row in rows)
 
     async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         return await asyncio.open_connection(self.host, self.port)
@@ -207,11 +209,13 @@
         return answer
 
 
-def a_port() -> int:
-    """One that is free now; the proxy binds it with SO_REUSEADDR."""
+@contextmanager
+def held_port() -> Iterator[int]:
+    """One that nobody else is given meanwhile; the proxy binds it all the same, with SO_REUSEADDR."""
     with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
+        yield int(probe.getsockname()[1])
 
 
 @asynccontextmanager
@@ -219,10 +223,11 @@
     path: Path, config: dict[str, Any], called: bool = False, shared: socket.socket | None = None
 ) -> AsyncIterator[Node]:
     """`called`: with an address for operators; `shared`: a listening socket to inherit, as there."""
-    calls = a_port() if called else 0
+    held = ExitStack()
+    calls = held.enter_context(held_port()) if called else 0
     file = path / f"config{calls or ''}.json"
     file.write_text(json.dumps(config | ({"mgmt": f"127.0.0.1:{calls}"} if called else {})))
-    port = shared.getsockname()[1] if shared else a_port()
+    port = shared.getsockname()[1] if shared else held.enter_context(held_port())
     told = {
         "LB_NAME": "n0", "LB_LISTEN": f"127.0.0.1:{port}", "LB_CONFIG": str(file),
         "LB_DISCOVERY": config["discovery"], "TMPDIR": str(path),
@@ -242,6 +247,7 @@
         if process.returncode is None:
             process.kill()
         await process.wait()
+        held.close()
 
 
 @asynccontextmanager
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -163,14 +163,11 @@
                 each.cancel()
 
 
-def patient(discovery: str, *known: dict[str, Any], **changes: Any) -> dict[str, Any]:
-    """A configuration with other limits, rules or class figures than the usual ones."""
-    made = configuration(discovery, *known, **changes.get("sizes", {}))
-    settings = dict(SETTINGS)
-    settings["Categories"] = [klass | changes.get("klass", {}) for klass in settings["Categories"]]
-    settings["Limits"] = settings["Limits"] | changes.get("limits", {})
-    settings["Rules"] = settings["Rules"] | changes.get("rules", {})
-    return made | {"settings": settings | changes.get("settings", {})}
+def slower(made: dict[str, Any], connect_ms: float, **klass: float) -> dict[str, Any]:
+    """That configuration with another time for connections, and other figures of its classes."""
+    limits = SETTINGS["Limits"] | {"ConnectTimeoutMs": connect_ms}
+    classes = [usual | klass for usual in SETTINGS["Categories"]]
+    return made | {"settings": SETTINGS | {"Limits": limits, "Categories": classes}}
 
 
 @LEAVING
@@ -182,11 +179,11 @@
     async def talk() -> None:
         async with late_backend() as backend, Discovery(entry("b1", backend.address)) as discovery:
             known = entry("b1", backend.address)
-            config = patient(discovery.address, known, limits={"ConnectTimeoutMs": 20_000.0})
+            config = slower(configuration(discovery.address, known), 20_000.0)
             async with node(tmp_path, config) as proxy:
                 _, writer = await proxy.connect()
                 writer.write(request("a1") + request("a2"))
-                while not proxy.sockets("connecting"):
+                while not proxy.connecting():
                     await asyncio.sleep(0.005)
                 await leaves(writer, how)
                 backend.go.set()
@@ -242,8 +239,7 @@
         async with first, second:
             known = [entry("b1", first.address), entry("b2", second.address)]
             async with Discovery(*known) as discovery:
-                klass = {"RepeatWindowMs": 500.0}
-                config = patient(discovery.address, *known, klass=klass, limits={"ConnectTimeoutMs": 50.0})
+                config = slower(configuration(discovery.address, *known), 50.0, RepeatWindowMs=500.0)
                 async with node(tmp_path, config) as proxy:
                     for number in range(40):  # until one begins at the first of the two
                         reader, writer = await proxy.connect()
@@ -306,7 +302,7 @@
     async def talk() -> None:
         async with Backend() as old, Backend() as new, Down(entry("b1", old.address)) as discovery:
             known = entry("b1", old.address)
-            async with node(tmp_path, patient(discovery.address, known, sizes={"sockets": 128})) as proxy:
+            async with node(tmp_path, configuration(discovery.address, known, sockets=128)) as proxy:
                 resource.prlimit(proxy.process.pid, resource.RLIMIT_NOFILE, (128, 128))
                 idle = [await proxy.connect() for _ in range(400)]
                 assert await proxy.ask("a1") == ("200", b"a1")
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -189,6 +189,11 @@
         self.config = config
         self.file.write_text(json.dumps(config))
 
+    def reload(self, **changes: Any) -> None:
+        """SIGHUP with a file so changed."""
+        self.write(self.config | changes)
+        self.proxy.reload(load(self.environ))
+
     def at(self, at: float, call: Callable[..., object], *args: Any) -> None:
         self.loop.call_later(at - self.loop.now, call, *args)
 
@@ -312,8 +317,7 @@
         play.loop.run(4.0)
         first = len(play.service.calls)
         play.service.refuses = lambda number, first=first: number == first  # type: ignore[misc]
-        play.write(play.config | {"discovery": "127.0.0.1:2"})
-        play.proxy.reload(load(play.environ))
+        play.reload(discovery="127.0.0.1:2")
         play.loop.run(14.1)  # a refused call is made again within the time for asking
         assert [wire.port for wire in play.service.open] == [2], ("seed", seed)
 
@@ -333,8 +337,7 @@
         play.loop.run(moves)
         first = len(play.service.calls) if refuses_first else -1
         play.service.refuses = lambda number, first=first: number == first  # type: ignore[misc]
-        play.write(play.config | {"discovery": "127.0.0.1:2"})
-        play.proxy.reload(load(play.environ))
+        play.reload(discovery="127.0.0.1:2")
         late = play.knows_at(60.0) - moves - (6.0 if refuses_first else 4.0)
         assert late <= GRACE_S, (f"{late:.2f} s late", "seed", seed)
 
@@ -383,8 +386,7 @@
     play.loop.run(4.0)
     before = len(play.service.calls)
     settings = play.config["settings"] | {"Discovery": "push"}
-    play.write(play.config | {"discovery": "127.0.0.1:2", "settings": settings})
-    play.proxy.reload(load(play.environ))
+    play.reload(discovery="127.0.0.1:2", settings=settings)
     play.loop.run(5.0)
     assert len(play.service.calls) == before + 1
 
