--- /dev/null
+++ b/bench/lay_sites.py
@@ -0,0 +1,33 @@
+"""Lay beside our variants of a deployment what a play of them needs, from the operators' kit.
+
+    python bench/lay_sites.py ../given/kit
+
+The three files belong to the kit and stay outside version control.  Exits 2 where the kit is not there.
+"""
+
+from __future__ import annotations
+
+import shutil
+import sys
+from pathlib import Path
+
+SITES = Path(__file__).parent.parent / "deploy" / "sites"
+FROM = Path("more") / "mass" / "other"  # the other customer's deployment, with files of its own
+NAMES = ("real.json", "wire.json", "unlock.txt")
+
+
+def main(words: list[str]) -> int:
+    if len(words) != 1:
+        print(__doc__, file=sys.stderr)
+        return 2
+    missing = [name for name in NAMES if not (Path(words[0]) / FROM / name).is_file()]
+    if missing:
+        print(f"lay_sites: no kit there: {FROM / missing[0]} is missing", file=sys.stderr)
+        return 2
+    for name in NAMES:
+        shutil.copyfile(Path(words[0]) / FROM / name, SITES / name)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
