Incident: timeline, candidate causes and a failing test of requests lost at a drain's end

The records put all eight into the 50 ms between the drain's 504s and its abort, where requests are still forwarded.

--- /dev/null
+++ b/tests/proxy/test_shutdown_admission.py
@@ -0,0 +1,108 @@
+"""Requests whose last byte comes while a shutdown ends, on connections that are not idle.
+
+The clients go on using what they have opened until the process ends.  Whatever reached the backend has to be
+answered, whenever it came; how the times fall is left to the machine, and the verdict does not depend on it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from dataclasses import dataclass
+from pathlib import Path
+
+import pytest
+
+from tests.support.lifecycle import SHORT_LIMIT_MS, ended, with_short_limit
+from tests.support.loopback import (
+    Backend,
+    Discovery,
+    ProxyProcess,
+    configuration,
+    entry,
+    ok,
+    read_response,
+    request,
+    run,
+    running_proxy,
+)
+
+CLIENTS = 100  # few enough that none is closed to make room
+KINDS = ("silent", "head", "body", "pipelined")
+SERVICE_S = 0.01  # of the backend
+FIRST_SEND_S = SHORT_LIMIT_MS / 1000.0 + 0.25  # after SIGTERM, before the end of the shutdown
+LAST_SEND_S = SHORT_LIMIT_MS / 1000.0 + 0.7  # when SIGKILL may come at the earliest
+END_LIMIT_S = 10.0
+
+
+@dataclass
+class Sent:
+    """What became of a request; `status` is "closed" where its connection ended without a response."""
+
+    ident: str
+    status: str
+
+
+class LateClient:
+    """A client that opens its connection before the shutdown and completes a request during it."""
+
+    def __init__(self, number: int, kind: str) -> None:
+        self.number, self.kind = number, kind
+        self.idents = [f"{kind}-{number}-{part}" for part in range(3 if kind == "pipelined" else 1)]
+
+    async def open(self, proxy: ProxyProcess) -> None:
+        self.reader, self.writer = await proxy.connect()
+        self.rest = b"".join(map(request, self.idents))
+        kept_back = {"silent": len(self.rest), "head": 60, "body": 2, "pipelined": len(self.rest)}
+        begun, self.rest = self.rest[: -kept_back[self.kind]], self.rest[-kept_back[self.kind] :]
+        self.writer.write(begun)
+
+    async def send_at(self, at: float) -> list[Sent]:
+        await asyncio.sleep(at - asyncio.get_running_loop().time())
+        try:
+            self.writer.write(self.rest)
+            statuses = [(await read_response(self.reader))[0] for _ in self.idents]
+        except ConnectionError:
+            statuses = ["closed"] * len(self.idents)
+        self.writer.close()
+        return [Sent(*row) for row in zip(self.idents, statuses, strict=True)]
+
+
+class SlowBackend(Backend):
+    """Responds after SERVICE_S."""
+
+    def __init__(self) -> None:
+        super().__init__(self._respond_later)
+
+    def _respond_later(self, head: dict[str, str], body: bytes) -> None:
+        ident = head["x-request-id"]
+        asyncio.get_running_loop().call_later(
+            SERVICE_S, lambda: self.carriers[ident].write(ok(ident.encode()))
+        )
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_a_request_that_is_completed_while_a_shutdown_ends_is_answered_or_not_forwarded(
+    tmp_path: Path, kind: str
+) -> None:
+    async def scenario() -> None:
+        backend = SlowBackend()
+        async with backend, Discovery() as discovery:
+            discovery.entries = [entry("b1", backend.address)]
+            config = with_short_limit(configuration(discovery.address, *discovery.entries, sockets=1024))
+            async with running_proxy(tmp_path, config) as proxy:
+                await discovery.watched.wait()
+                clients = [LateClient(number, kind) for number in range(CLIENTS)]
+                for client in clients:
+                    await client.open(proxy)
+                proxy.signal(signal.SIGTERM)
+                began_at = asyncio.get_running_loop().time()
+                step_s = (LAST_SEND_S - FIRST_SEND_S) / CLIENTS
+                sent = await asyncio.gather(*(
+                    client.send_at(began_at + FIRST_SEND_S + client.number * step_s) for client in clients
+                ))  # fmt: skip
+                assert await ended(proxy, END_LIMIT_S) == 0
+                unanswered = {each.ident for row in sent for each in row if each.status == "closed"}
+                assert not unanswered & set(backend.seen)
+
+    run(scenario())
