A drain admits only what it can answer before its end; structured events in the log

Also 0.12 s before the earliest SIGKILL, less than the hold-up of 0.15 s; the accepting (1.5 s) and hand-over (1.8 s) steps could pass it altogether. An own acceptor empties the backlog before the listener closes and leaves connections there while accept fails. A long body sent again tells what is left.

--- a/heronreel/proxy/__main__.py
+++ b/heronreel/proxy/__main__.py
@@ -18,6 +18,7 @@
 from heronreel.proxy.client_listener import ClientListener
 from heronreel.proxy.config import Config, load
 from heronreel.proxy.dispatcher import Dispatcher
+from heronreel.proxy.drain import drain, note_signal
 from heronreel.proxy.errors import ConfigError
 from heronreel.proxy.logs import ALWAYS, log_to_stderr
 from heronreel.proxy.shared_state import SharedState
@@ -38,9 +39,10 @@
     """
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(_log_exception)
-    stop, reload = asyncio.Event(), asyncio.Event()
+    stop: asyncio.Future[float] = loop.create_future()  # when SIGTERM came
+    reload = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
+        loop.add_signal_handler(number, note_signal, stop)
     # before anything else: what SIGHUP does by default is end the process
     loop.add_signal_handler(signal.SIGHUP, reload.set)
     dispatcher = Dispatcher(loop, config)
@@ -56,15 +58,16 @@
         # draining backends must get nothing new: what the agent has counts as notified from our first moment
         # on, and the list of the file may be old
         await _wait_for_list(dispatcher, PUSHED_LIST_TIMEOUT_S, stop)
-    log.info("listening on %s:%d", *await clients.listen(config.listen, inherited), extra=ALWAYS)
+    log.info("listening on %s:%d", *clients.listen(config.listen, inherited), extra=ALWAYS)
     ready.set()
     gc.collect()
     gc.freeze()  # what lives as long as the process need not be searched again
     reloading = loop.create_task(_reload_on(reload, dispatcher, clients))
-    await stop.wait()
+    signalled_at = await stop
     if shared:
         shared.unregister_process()
-    await clients.drain(has_successor=inherited is not None and bool(shared and shared.other_processes()))
+    has_successor = inherited is not None and bool(shared and shared.other_processes())
+    await drain(clients, signalled_at, has_successor)
     reloading.cancel()
 
 
@@ -106,11 +109,11 @@
     log.info("admin API on %s:%d", *await server.listen(address), extra=ALWAYS)
 
 
-async def _wait_for_list(dispatcher: Dispatcher, timeout_s: float, stop: asyncio.Event) -> None:
+async def _wait_for_list(dispatcher: Dispatcher, timeout_s: float, stop: asyncio.Future[float]) -> None:
     """Until discovery has sent a list with at least one backend on it, or `stop`; `timeout_s` at most."""
     ends_at = time.monotonic() + timeout_s
     while not (dispatcher.has_list and dispatcher.is_serving()) and time.monotonic() < ends_at:
-        if stop.is_set():
+        if stop.done():
             return
         await asyncio.sleep(POLL_INTERVAL_S)
 
--- /dev/null
+++ b/heronreel/proxy/acceptor.py
@@ -0,0 +1,113 @@
+"""Accepting connections on a listening socket.
+
+The event loop's own listener resets every connection that comes while `accept` fails for want of
+descriptors, and spins while it fails otherwise.  Here a connection that can't be accepted now stays in the
+kernel's queue, `accept` is tried again after a pause that grows, and the last connections are accepted before
+the socket closes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import socket
+from collections.abc import Callable, Coroutine
+from contextlib import suppress
+from typing import Any
+
+from heronreel.proxy.event_log import EventKind, record
+
+Opening = Coroutine[Any, Any, object]  # of a connection that was accepted
+
+MAX_ACCEPTS = 64  # in one turn of the loop, so that a crowd delays nobody for long
+MIN_PAUSE_S, MAX_PAUSE_S = 0.005, 0.1  # after a failure of `accept`
+# accept(2): errors of the new connection, which is gone; the next one may be well
+CONNECTION_ERRORS = frozenset((
+    errno.ECONNABORTED, errno.EPROTO, errno.ENOPROTOOPT, errno.ENETDOWN, errno.EHOSTDOWN, errno.ENONET,
+    errno.EHOSTUNREACH, errno.EOPNOTSUPP, errno.ENETUNREACH, errno.ETIMEDOUT, errno.ECONNRESET,
+))  # fmt: skip
+
+
+class Acceptor:
+    """Accepts the connections of one listening socket, until it is closed."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        listener: socket.socket,
+        make_protocol: Callable[[], asyncio.Protocol],
+    ) -> None:
+        """Accept from now on; the socket listens already, and is this object's to close."""
+        self.loop = loop
+        self.listener = listener
+        self.make_protocol = make_protocol
+        self.pause_s = MIN_PAUSE_S
+        self.resume_timer: asyncio.TimerHandle | None = None
+        self.opening: set[Opening] = set()
+        listener.setblocking(False)
+        loop.add_reader(listener.fileno(), self._accept)
+
+    def close(self) -> None:
+        """Accept what waits in the kernel's queue, then listen no more; closing again does nothing."""
+        if self.listener.fileno() < 0:
+            return
+        if self.resume_timer:
+            self.resume_timer.cancel()
+        while self._accept_some():
+            pass
+        self.loop.remove_reader(self.listener.fileno())
+        self.listener.close()
+
+    def _accept(self) -> None:
+        self._accept_some()
+
+    def _accept_some(self) -> bool:
+        """Accept up to `MAX_ACCEPTS` connections; whether more may wait."""
+        for _ in range(MAX_ACCEPTS):
+            try:
+                connection, _ = self.listener.accept()
+            except BlockingIOError:
+                return False
+            except OSError as error:
+                record(EventKind.ACCEPT_FAILED, error=errno.errorcode.get(error.errno or 0, str(error)))
+                if error.errno in CONNECTION_ERRORS:
+                    continue
+                self._pause()
+                return False
+            self.pause_s = MIN_PAUSE_S
+            connection.setblocking(False)
+            self._open(connection)
+        return True
+
+    def _open(self, connection: socket.socket) -> None:
+        """Make the connection the event loop's.
+
+        The coroutine waits only until the loop has called `connection_made`.  It is stepped here and not by a
+        task, which would cost half as much again as the whole accept does.
+        """
+        opening = self.loop.connect_accepted_socket(self.make_protocol, connection)
+        try:
+            made: asyncio.Future[None] = opening.send(None)
+        except StopIteration:
+            return
+        except OSError as error:
+            record(EventKind.ACCEPT_FAILED, error=str(error))
+            connection.close()
+            return
+        self.opening.add(opening)
+        made.add_done_callback(lambda _: self._opened(opening))
+
+    def _opened(self, opening: Opening) -> None:
+        self.opening.discard(opening)
+        with suppress(StopIteration):
+            opening.send(None)
+
+    def _pause(self) -> None:
+        """Leave new connections in the kernel's queue for a while."""
+        self.loop.remove_reader(self.listener.fileno())
+        self.resume_timer = self.loop.call_later(self.pause_s, self._resume)
+        self.pause_s = min(MAX_PAUSE_S, 2.0 * self.pause_s)
+
+    def _resume(self) -> None:
+        self.resume_timer = None
+        self.loop.add_reader(self.listener.fileno(), self._accept)
--- a/heronreel/proxy/backend_connection.py
+++ b/heronreel/proxy/backend_connection.py
@@ -195,9 +195,10 @@
         self.attempt, attempt.connection = attempt, self
         self.received_bytes, self.section_bytes, self.status, self.complete = 0, 0, 0, False
         request, transport = attempt.request, self.transport
-        timeout_ms = max(1, int((attempt.ends_at - now) * 1000.0))
-        if request.upload:
-            timeout_ms = int(request.upload.timeout_ms)
+        left_ms = (attempt.ends_at - now) * 1000.0
+        if request.upload and not request.upload.complete:  # its time begins with its last byte
+            left_ms = min(left_ms, request.upload.timeout_ms)
+        timeout_ms = max(1, int(left_ms))
         head = b"%bx-deadline-ms: %d\r\n\r\n" % (request.head, timeout_ms)
         if request.upload:
             self.has_unsent_bytes = True
--- a/heronreel/proxy/client_connection.py
+++ b/heronreel/proxy/client_connection.py
@@ -29,12 +29,14 @@
     MIN_BODY_BYTES_PER_S,
     REQUEST_TIMEOUT_S,
     SMALL_BODY_BYTES,
+    TOO_MANY_PIPELINED,
     WRITE_TIMEOUT_S,
     ConnectionRegistry,
     Phase,
     ReadRequest,
 )
 from heronreel.proxy.errors import UnreadableMessageError
+from heronreel.proxy.event_log import CloseReason, EventKind, RefusalReason, record
 from heronreel.proxy.http1 import (
     CONTINUE,
     DATE_LINE,
@@ -69,13 +71,14 @@
 
     __slots__ = (
         "admitted", "body", "body_bytes", "chunked", "close_after_response", "declared_length", "due_at",
-        "error_status", "head", "header_bytes", "headers", "is_http10", "listener", "parser", "phase",
-        "pipelined", "progress_bytes", "reading_paused", "request", "response_source", "started_at", "target",
-        "transport", "upload", "writing_paused",
+        "error_reason", "error_status", "head", "header_bytes", "headers", "is_http10", "listener",
+        "number", "parser", "phase", "pipelined", "progress_bytes", "reading_paused", "request",
+        "requests_read", "response_source", "started_at", "target", "transport", "upload", "writing_paused",
     )  # fmt: skip
 
     def __init__(self, listener: ConnectionRegistry[ClientConnection]) -> None:
         self.listener = listener
+        self.number = 0  # in the log
         self.transport: asyncio.Transport
         self.parser = httptools.HttpRequestParser(self)
         self.phase = Phase.IDLE
@@ -84,10 +87,12 @@
         self.body: bytes | bytearray = b""
         self.head: RequestHead | None = None  # of the request being read; None: no backend is needed
         self.error_status = 0  # of the response to the request being read, where no backend is needed
+        self.error_reason: RefusalReason | None = None
         # bytes of the head, or since the body last came on; after the last response, of anything
         self.progress_bytes = 0
         self.header_bytes = self.body_bytes = 0
         self.pipelined: deque[ReadRequest] = deque()
+        self.requests_read = 0
         self.request: Request | None = None
         self.upload: RequestBodyStream | None = None  # the body being read, where it is forwarded as it comes
         self.declared_length = 0  # of the body; 0: unknown
@@ -114,6 +119,7 @@
         self.listener.silent.pop(self, None)
         self.progress_bytes += len(data)
         if self.phase is Phase.CLOSING:
+            record(EventKind.INPUT_DROPPED, bytes=len(data), connection=self.number)
             if self.progress_bytes > MAX_LINGER_BYTES:
                 self.transport.pause_reading()  # 60 MB need not be read to be rejected
             return
@@ -125,9 +131,9 @@
             self._on_unreadable()
             return
         if self.progress_bytes > MAX_HEAD_BYTES and self.phase is Phase.HEAD:
-            self._reject(431)
+            self._reject(431, RefusalReason.INVALID)
         elif self.progress_bytes > MAX_HEAD_BYTES + MAX_FRAMING_BYTES:  # bounds memory
-            self._reject(400)
+            self._reject(400, RefusalReason.INVALID)
 
     def _on_unreadable(self) -> None:
         if self._is_closing():
@@ -135,7 +141,7 @@
         if self.phase is Phase.IDLE and self.close_after_response:
             self.transport.pause_reading()  # its last request was read; nothing that follows is wanted
         else:
-            self._reject(self.error_status or 400)
+            self._reject(self.error_status or 400, self.error_reason or RefusalReason.INVALID)
 
     def _is_closing(self) -> bool:
         """Whether nothing more is read but to be dropped."""
@@ -149,7 +155,7 @@
         if self.started_at == math.inf:  # the first request's time began with the connection
             self.started_at = time.monotonic()
         self.target, self.headers, self.body = b"", [], b""
-        self.head, self.error_status = None, 0
+        self.head, self.error_status, self.error_reason = None, 0, None
         self.header_bytes, self.body_bytes, self.declared_length = 0, 0, 0
         self.phase = Phase.HEAD
         self.due_at = self.started_at + REQUEST_TIMEOUT_S
@@ -168,9 +174,9 @@
         if self.phase is Phase.HEAD:
             self.headers.append((name.lower(), value.rstrip(OPTIONAL_WHITESPACE)))
 
-    def _refuse(self, status: int) -> None:
+    def _refuse(self, status: int, reason: RefusalReason = RefusalReason.INVALID) -> None:
         """End the parsing; the response has that status."""
-        self.error_status = status
+        self.error_status, self.error_reason = status, reason
         raise UnreadableMessageError
 
     def on_headers_complete(self) -> None:
@@ -234,7 +240,7 @@
     def _continue(self) -> None:
         """RFC 9110, 10.1.1: the client waits with its body; HTTP/1.0 has no interim responses."""
         if self.error_status or not self.admitted:
-            self._refuse(self.error_status or 503)
+            self._refuse(self.error_status or 503, self.error_reason or RefusalReason.NO_ROOM)
         self.transport.write(CONTINUE)
 
     def on_body(self, data: bytes) -> None:
@@ -270,7 +276,8 @@
         share = 1.0 if self.body_bytes <= SMALL_BODY_BYTES else LARGE_BODY_SHARE
         if not self.admitted or not self.listener.dispatcher.budget.reserve(len(data), share):
             self._drop_body()
-            self.error_status = 503  # nothing of it ran; the client reads so once its body is out
+            # nothing of it ran; the client reads so once its body is out
+            self.error_status, self.error_reason = 503, RefusalReason.NO_MEMORY
         elif not self.body:
             self.body = data
         else:
@@ -286,9 +293,14 @@
         """A body too long to be buffered goes on to a backend while it comes."""
         dispatcher, head = self.listener.dispatcher, self.head
         duplicate = head is not None and head.request_id and head.request_id in dispatcher.request_ids
-        if self.request or self.pipelined or head is None or duplicate:
+        busy = bool(self.request or self.pipelined)
+        admitting = self.listener.is_admitting()
+        if busy or head is None or duplicate or not admitting:
             self._drop_body()
-            self.error_status = 503 if self.request or self.pipelined else 400
+            self.error_status = 400 if admitting and not busy else 503
+            self.error_reason = RefusalReason.NO_MEMORY if busy else RefusalReason.DUPLICATE_ID
+            if not admitting:
+                self.error_reason = RefusalReason.DRAINING
             return
         body, self.body = bytes(self.body), b""
         if self.declared_length:
@@ -324,16 +336,17 @@
             return
         if self.head:
             self.head.read_at = time.monotonic()
-        read = ReadRequest(self.head, self.error_status, self.body)
+        read = ReadRequest(self.head, self.error_status, self.body, self.error_reason)
         self.body, self.headers, self.head, self.target = b"", [], None, b""
+        self.requests_read += 1
         if self.request is None and not self.pipelined:
             self._serve(read)
-        elif len(self.pipelined) < MAX_PIPELINED:
-            self.pipelined.append(read)
-            self.transport.pause_reading()  # one at a time; so it can't be seen leaving until then
-        else:
+            return
+        if len(self.pipelined) >= MAX_PIPELINED:  # not kept, and answered in its turn
             self.listener.dispatcher.budget.release(len(read.body))
-            self._refuse(429)
+            read = TOO_MANY_PIPELINED
+        self.pipelined.append(read)
+        self.transport.pause_reading()  # one at a time; so it can't be seen leaving until then
 
     def _finish_upload(self, upload: RequestBodyStream) -> None:
         self.upload, self.head = None, None
@@ -343,15 +356,22 @@
 
     def _serve(self, read: ReadRequest) -> None:
         dispatcher = self.listener.dispatcher
-        head, status, body = read
+        head, status, body, reason = read
         if not self.admitted:
             status, self.close_after_response = status or 503, True
+            reason = reason or RefusalReason.NO_ROOM
         if head and not status and head.request_id and head.request_id in dispatcher.request_ids:
-            status = 400  # the id of an open request is what tells its response and its effect from others'
+            # the id of an open request is what tells its response and its effect from others'
+            status, reason = 400, RefusalReason.DUPLICATE_ID
+        if head and not status and not self.listener.is_admitting():
+            status, reason = 503, RefusalReason.DRAINING
         if head is None or status:
             dispatcher.budget.release(len(body))
+            if reason:
+                self._record_refusal(status or 400, reason, head)
             # a client that can't send a valid request need not send another one here
-            self.close_after_response = self.close_after_response or 400 <= status < 500
+            invalid = 400 <= status < 500 and status != TOO_MANY_PIPELINED.error_status
+            self.close_after_response = self.close_after_response or invalid
             self.respond(status or 400, DATE_LINE.now())
             return
         # a body of the framing that backends get: always its length
@@ -361,7 +381,19 @@
         request = dispatcher.submit(self, head, body)
         self.request = None if request.finished else request
 
+    def _record_refusal(self, status: int, reason: RefusalReason, head: RequestHead | None) -> None:
+        request_id = head.request_id if head else b""
+        record(EventKind.REQUEST_REFUSED, request_id, status=status, reason=reason, connection=self.number)
+
+    def _record_close(self, reason: CloseReason) -> None:
+        owed = self.request.request_id if self.request else b""
+        record(
+            EventKind.CONNECTION_CLOSED, owed, reason=reason, connection=self.number, phase=self.phase.name
+        )
+
     def _serve_pipelined(self) -> None:
+        if self.writing_paused:
+            return  # until the client has taken the responses before it
         if self.pipelined and self.request is None and not self.transport.is_closing():
             read = self.pipelined.popleft()
             if not self.pipelined and self.phase is not Phase.CLOSING and not self.writing_paused:
@@ -425,7 +457,7 @@
     def abort_stream(self) -> None:
         """A long response can't be finished: an end without its last byte shows it."""
         self.response_source = None
-        self.transport.abort()
+        self.abort(CloseReason.STREAM_CUT)
 
     def has_disconnected(self) -> bool:
         """Whether the client is gone: one that ends its sending is, whether the connection is read or not."""
@@ -450,9 +482,11 @@
             self.transport.resume_reading()
         if self.response_source:
             self.response_source.set_reading_paused(False)
+        self._serve_pipelined()
 
-    def _reject(self, status: int) -> None:
+    def _reject(self, status: int, reason: RefusalReason) -> None:
         """Reject what can't be served.  Responses owed for what came before it are sent first, and alone."""
+        self._record_refusal(status, reason, self.head)
         self._drop_body()
         self.target, self.headers, self.head = b"", [], None
         self.listener.idle.pop(self, None)
@@ -475,36 +509,48 @@
 
     # Ending.
 
+    def reject_incomplete(self) -> None:
+        """No request that is complete from now on is served, so what is not complete need not come."""
+        if self.upload or self.phase in (Phase.HEAD, Phase.BODY):
+            self._reject(503, RefusalReason.DRAINING)
+
+    def close_between_requests(self, reason: CloseReason) -> None:
+        """Close it unless a response is owed; the connection ends behind that one."""
+        if self.phase is Phase.IDLE and self.request is None and not self.pipelined:
+            self.close(reason)
+
     def on_overdue(self) -> None:
         """The connection's next step was not made in time."""
         if self.upload:
-            self._reject(408)
+            self._reject(408, RefusalReason.OVERDUE)
         elif self.request or self.pipelined:
             if self.writing_paused:
-                self.transport.abort()  # it does not take the responses it has
+                self.abort(CloseReason.NOT_TAKING)
             else:
-                self._reject(408)  # of the next one only a part came
+                self._reject(408, RefusalReason.OVERDUE)  # of the next one only a part came
         elif self.phase in (Phase.HEAD, Phase.BODY):
-            self._reject(408)
+            self._reject(408, RefusalReason.OVERDUE)
         elif self.phase is Phase.IDLE and not self.transport.get_write_buffer_size():
-            self.close()
+            self.close(CloseReason.IDLE if self.requests_read else CloseReason.SILENT)
         else:
-            self.transport.abort()
+            self.abort(CloseReason.LINGERED)
 
-    def close(self) -> None:
-        """End a connection between requests, unless something has just come.
+    def close(self, reason: CloseReason) -> None:
+        """Close a connection between requests, unless something has just come, which is read first.
 
-        That is read first, and a connection closed over it would be reset under the response before it.
+        Only our side ends: a request that crosses this is read and dropped, and its client sends it again.  A
+        connection closed over it would be reset, under the response before it too.
         """
-        if has_unread_input(self.transport):
+        if self.phase is Phase.CLOSING or has_unread_input(self.transport):
             return
-        self.listener.idle.pop(self, None)
-        self.phase, self.close_after_response = Phase.CLOSING, True
-        self.due_at = time.monotonic() + WRITE_TIMEOUT_S
-        self.transport.close()
+        self._record_close(reason)
+        self.listener.silent.pop(self, None)
+        self.close_after_response = True
+        self._linger()
 
-    def abort(self) -> None:
+    def abort(self, reason: CloseReason) -> None:
         """Close at once; the descriptor is as good as free."""
+        self._record_close(reason)
         self.listener.forget(self)
         self.transport.abort()
 
@@ -521,5 +567,12 @@
         self.pipelined.clear()
         request, self.request = self.request, None
         if request:
+            if not request.finished:
+                record(
+                    EventKind.CLIENT_LEFT,
+                    request.request_id,
+                    connection=self.number,
+                    attempts=len(request.attempts),
+                )
             self.listener.dispatcher.client_disconnected(request)
         del self.parser  # it refers back to us, and the collector would come late
--- a/heronreel/proxy/client_interface.py
+++ b/heronreel/proxy/client_interface.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple, Protocol, TypeVar
 
 from heronreel.proxy.dispatcher import Dispatcher
+from heronreel.proxy.event_log import RefusalReason
 from heronreel.proxy.request import RequestHead
 
 MAX_HEADER_FIELDS = 100  # of a request
@@ -45,6 +46,10 @@
     head: RequestHead | None
     error_status: int
     body: bytes | bytearray
+    reason: RefusalReason | None = None  # of an error
+
+
+TOO_MANY_PIPELINED = ReadRequest(None, 429, b"", RefusalReason.TOO_MANY_PIPELINED)
 
 
 class ConnectionRegistry(Protocol[Connection]):
@@ -66,3 +71,6 @@
 
     def is_closing_connections(self) -> bool:
         """Whether each connection ends behind its next response, for a while or for good."""
+
+    def is_admitting(self) -> bool:
+        """Whether a request whose last byte is read now may still be sent to a backend."""
--- a/heronreel/proxy/client_listener.py
+++ b/heronreel/proxy/client_listener.py
@@ -1,4 +1,4 @@
-"""The listener for clients: accepting, limits on connections, and the graceful shutdown."""
+"""The listener for clients: accepting, limits on connections, and quiescing."""
 
 from __future__ import annotations
 
@@ -10,25 +10,20 @@
 from collections.abc import Callable
 from itertools import islice
 
+from heronreel.proxy.acceptor import Acceptor
 from heronreel.proxy.client_connection import ClientConnection
 from heronreel.proxy.client_interface import IDLE_TIMEOUT_S, REQUEST_TIMEOUT_S, Phase
 from heronreel.proxy.config import Config, with_descriptors_in_use
 from heronreel.proxy.dispatcher import Dispatcher
+from heronreel.proxy.event_log import CloseReason, record_state
 from heronreel.proxy.socket_state import has_unread_input
 
 BACKLOG = 2048
 MAX_INSPECTED = 16  # connections that are looked at to find one that may be closed
 SWEEP_INTERVAL_S = 0.2
-POLL_INTERVAL_S = 0.02  # while shutting down
 MIN_IDLE_TIMEOUT_S = 0.1  # between requests, once many connections are open
 MIN_SILENCE_TIMEOUT_S = 0.5  # for the first byte then; before that REQUEST_TIMEOUT_S
 FEW_CONNECTIONS_SHARE = 0.25  # of the connections that clients may have, up to which few are open
-# after SIGTERM new connections come for up to 0.4 s
-QUIET_S, MIN_ACCEPT_S, MAX_ACCEPT_S = 0.25, 0.6, 1.5
-LAST_DEADLINE_MARGIN_S = 0.5  # after the longest deadline the process ends; SIGKILL comes 0.7 s after it
-MAX_DRAIN_DEADLINE_S = 3.0  # a longest deadline counts as this much at most
-HANDOVER_S = 1.8  # after SIGTERM clients' connections that stay idle stay open for a successor's sake
-ABORT_DELAY_S = 0.05  # for the last responses to be written
 # after a health check that failed, the load balancer in front of us sends no more connections
 QUIESCE_DELAY_S, QUIESCE_INTERVAL_S = 0.35, 0.05
 QUIESCE_SILENCE_S = 0.6  # after which a silent connection is closed then
@@ -63,9 +58,11 @@
         self.silent: dict[ClientConnection, None] = {}  # those that have not sent a byte, the oldest first
         self.idle: dict[ClientConnection, None] = {}  # those between requests, the longest idle first
         self.draining = False
+        self.admit_until = math.inf  # requests read later are refused
         self.quiesced_at = math.inf  # when operators commanded it
         self.accepted_at = 0.0
-        self.servers: list[asyncio.Server] = []
+        self.accepted = 0  # connections, since the start
+        self.acceptors: list[Acceptor] = []
 
     def limit_descriptors(self, in_use_elsewhere: int) -> None:
         """Leave the proxy's other processes what they use of the descriptors that are for all of them."""
@@ -83,25 +80,32 @@
         if config.listen != self.address and not config.endpoints_from_file:
             log.error("reload: listen: a new address needs a restart; %s:%d stays", *self.address)
 
-    async def listen(self, address: tuple[str, int], inherited: int | None = None) -> tuple[str, int]:
+    def listen(self, address: tuple[str, int], inherited: int | None = None) -> tuple[str, int]:
         """Listen on an address, or on an inherited socket that successors will share; the bound address.
 
         Raises:
             OSError: The address can't be bound, or the inherited descriptor is no socket.
         """
         listener = bind_listener(address) if inherited is None else socket.socket(fileno=inherited)
-        server = await self.loop.create_server(lambda: ClientConnection(self), sock=listener, backlog=BACKLOG)
-        if not self.servers:
-            self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
-        self.servers.append(server)
+        listener.listen(BACKLOG)
         bound = listener.getsockname()
+        if not self.acceptors:
+            self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
+        self.acceptors.append(Acceptor(self.loop, listener, lambda: ClientConnection(self)))
         return bound[0], bound[1]
 
+    def stop_listening(self) -> None:
+        """Accept what waits in the kernel's queue, and nothing that comes later."""
+        for acceptor in self.acceptors:
+            acceptor.close()
+
     # Counting.
 
     def admit(self, client: ClientConnection) -> bool:
         """Count a new connection; False: there are too many, and it is only there to be rejected."""
         self.connections[client] = None
+        self.accepted += 1
+        client.number = self.accepted
         self.accepted_at = time.monotonic()
         if self.before_admit:
             self.before_admit()
@@ -112,12 +116,14 @@
         # costs no more than its accepts; a client that connects long before it sends may be closed too
         oldest = self._first_without_input(self.silent)
         if oldest and oldest is not client:
-            oldest.abort()
+            oldest.abort(CloseReason.MADE_ROOM)
             return True
+        excess = len(self.connections) - self.max_connections
         if oldest := self._first_without_input(self.idle):
-            oldest.close()
+            oldest.close(CloseReason.MADE_ROOM)
+            if excess > self.max_rejected:  # those that still end hold what is for the rejected
+                self._abort_slowest(client)
             return True
-        excess = len(self.connections) - self.max_connections
         if self.dispatcher.pool.lend_descriptors(excess) >= excess:
             return True
         if excess > self.dispatcher.pool.lent_descriptors + self.max_rejected:
@@ -127,9 +133,10 @@
     def _abort_slowest(self, newest: ClientConnection) -> None:
         """Free the descriptor of a rejected client, or of the one that sends its request for longest."""
         slow = [client for client in self.connections if not client.request and not client.pipelined]
-        min(
+        slowest = min(
             slow, key=lambda client: (client.phase is not Phase.CLOSING, client.started_at), default=newest
-        ).abort()
+        )
+        slowest.abort(CloseReason.REJECTED_ROOM)
 
     def _first_without_input(self, clients: dict[ClientConnection, None]) -> ClientConnection | None:
         """The first of those that have not just sent something; only so many are looked at."""
@@ -163,10 +170,10 @@
         resting += [(client, IDLE_TIMEOUT_S - MIN_IDLE_TIMEOUT_S) for client in self.idle]
         for client, earlier_s in resting:
             if len(self.connections) > kept and client.due_at - earlier_s <= now:
-                client.close()
+                client.close(CloseReason.CROWDED)
                 kept += 1
 
-    # Quiescing and shutting down.
+    # Quiescing; `heronreel.proxy.drain` shuts down.
 
     def is_ready(self) -> bool:
         """Whether requests are served and more clients may come."""
@@ -176,11 +183,16 @@
         """Whether each connection ends behind its next response, for a while or for good."""
         return self.draining or self.quiesced_at < math.inf
 
+    def is_admitting(self) -> bool:
+        """Whether a request whose last byte is read now may still be sent to a backend."""
+        return time.monotonic() < self.admit_until
+
     def set_quiesced(self, quiesced: bool) -> None:
         """Operators send the proxy's clients elsewhere, or let them come again."""
         if quiesced == (self.quiesced_at < math.inf):
             return
         self.quiesced_at = time.monotonic() if quiesced else math.inf
+        record_state("quiesced" if quiesced else "resumed", connections=len(self.connections))
         if quiesced:
             self.loop.call_later(QUIESCE_DELAY_S, self._close_quiesced, self.quiesced_at)
 
@@ -190,41 +202,7 @@
             return
         self.loop.call_later(QUIESCE_INTERVAL_S, self._close_quiesced, quiesced_at)
         for client in list(self.idle):
-            client.close()
+            client.close(CloseReason.QUIESCED)
         due_by = time.monotonic() + REQUEST_TIMEOUT_S - QUIESCE_SILENCE_S
         for client in [client for client in self.silent if client.due_at <= due_by]:
-            client.close()
-
-    async def drain(self, has_successor: bool = False) -> None:
-        """Shut down gracefully after SIGTERM: respond to all that was taken, then close.
-
-        Without a successor, take what still comes first.  With one, what comes is its own, and clients'
-        connections stay open for a while: each ends behind its next response, so that few close on a request.
-        """
-        self.draining = True
-        started_at = time.monotonic()
-        longest_s = min(self.dispatcher.max_deadline_ms / 1000.0, MAX_DRAIN_DEADLINE_S)
-        ends_at = started_at + longest_s + LAST_DEADLINE_MARGIN_S
-        if not has_successor:
-            await self._accept_the_last(started_at)
-        for server in self.servers:
-            server.close()  # the last accepts left the backlog empty for QUIET_S
-        while has_successor and self.connections and time.monotonic() < started_at + HANDOVER_S:
-            await asyncio.sleep(POLL_INTERVAL_S)
-        while self.connections and time.monotonic() < ends_at:
-            for client in list(self.idle):
-                client.close()
-            await asyncio.sleep(POLL_INTERVAL_S)
-        # every request gets a response: what was taken late gets a 504 rather than a reset
-        for request in [client.request for client in self.connections if client.request]:
-            self.dispatcher.time_out(request)
-        await asyncio.sleep(ABORT_DELAY_S)
-        for client in list(self.connections):
-            client.abort()
-
-    async def _accept_the_last(self, started_at: float) -> None:
-        """Wait until new connections have stopped coming."""
-        while (now := time.monotonic()) < started_at + MAX_ACCEPT_S:
-            if now >= max(started_at + MIN_ACCEPT_S, self.accepted_at + QUIET_S):
-                break
-            await asyncio.sleep(POLL_INTERVAL_S)
+            client.close(CloseReason.QUIESCED)
--- a/heronreel/proxy/dispatcher.py
+++ b/heronreel/proxy/dispatcher.py
@@ -29,6 +29,7 @@
 from heronreel.proxy.connection_pool import ConnectionPool
 from heronreel.proxy.endpoint_watch import EndpointWatch
 from heronreel.proxy.endpoints import EndpointList
+from heronreel.proxy.event_log import EventKind, RefusalReason, record
 from heronreel.proxy.http1 import DATE_LINE
 from heronreel.proxy.request import Request, RequestHead, ResponseWriter, Router
 from heronreel.proxy.streams import RequestBodyStream
@@ -76,6 +77,7 @@
         self.events: deque[api.Event] = deque()
         self.dispatching = False
         self.decided_at = 0.0  # when the balancer was last called
+        self.answer_by = math.inf  # on the monotonic clock: no deadline is later
         self.registry.update(config.endpoints, api.ListKind.CACHED)
         if self.watch:
             self.watch.start()
@@ -125,6 +127,16 @@
             kind = api.ListKind.FULL if update.is_snapshot else api.ListKind.CHANGES
             self.registry.update(update, kind)
 
+    def end_by(self, send_until: float, answer_by: float) -> None:
+        """The process ends: nothing is sent from `send_until` on, and no deadline is after `answer_by`.
+
+        Both are on the monotonic clock, in seconds.  What is under way keeps a deadline that is earlier.
+        """
+        self.answer_by = answer_by
+        self.pool.send_until = send_until
+        for request in self.requests.values():
+            request.deadline = min(request.deadline, answer_by)
+
     # Events and actions.
 
     def dispatch(self, event: api.Event) -> None:
@@ -207,6 +219,7 @@
             upload.timeout_ms, timeout_ms = timeout_ms, timeout_ms + MAX_UPLOAD_S * 1000.0
         elif head.read_at is not None:  # it may have waited its turn since
             timeout_ms = max(0.0, timeout_ms - (now - head.read_at) * 1000.0)
+        timeout_ms = min(timeout_ms, max(0.0, self.answer_by - now) * 1000.0)
         self.last_number += 1
         deadline = now + timeout_ms / 1000.0
         request = Request(
@@ -237,10 +250,10 @@
         if request.finished or not request.upload:
             return
         now, timeout_s = time.monotonic(), request.upload.timeout_ms / 1000.0
-        request.deadline = now + timeout_s
+        request.deadline = min(now + timeout_s, self.answer_by)
         if request.timer:
             request.timer.cancel()
-        request.timer = self.loop.call_later(timeout_s, self._on_deadline, request)
+        request.timer = self.loop.call_later(request.deadline - now, self._on_deadline, request)
         for attempt in request.attempts:
             attempt.started_at, attempt.ends_at = now, min(attempt.ends_at, request.deadline)
 
@@ -287,12 +300,32 @@
         if status == 502 and request.last_outcome is api.Outcome.TIMEOUT:
             status = 504
         client = request.client
+        self._record_own_response(request, status)
         self._mark_finished(request)
         if client:
             retry_after = b"retry-after: %.3f\r\n" % (retry_after_ms / 1000.0) if retry_after_ms else b""
             client.respond(status, retry_after + DATE_LINE.now())
         self._forget_if_done(number)
 
+    def _record_own_response(self, request: Request, status: int) -> None:
+        """Log a response that no backend made."""
+        kind, reason = EventKind.REQUEST_REFUSED, RefusalReason.NOT_ADMITTED
+        if status != 503:
+            kind, reason = EventKind.REQUEST_FAILED, RefusalReason.NO_ANSWER
+            now = time.monotonic()
+            if now >= self.answer_by:
+                reason = RefusalReason.DRAIN_ENDED
+            elif now >= request.deadline - DEADLINE_TOLERANCE_S:
+                reason = RefusalReason.DEADLINE
+        record(
+            kind,
+            request.request_id,
+            status=status,
+            reason=reason,
+            attempts=len(request.attempts),
+            last_outcome=request.last_outcome,
+        )
+
     def _mark_finished(self, request: Request) -> None:
         """Nothing more is sent for it, so what a retry would need is released."""
         request.finished, request.client = True, None
@@ -331,6 +364,15 @@
                 api.AttemptEnded(number, attempt_number, action.backend, outcome, 0.0, request.finished)
             )
             return
+        if attempt_number:
+            record(
+                EventKind.ATTEMPT_REPEATED,
+                request.request_id,
+                attempt=attempt_number,
+                backend=target.name,
+                after=request.last_outcome,
+                hedged=request.in_flight > 0,
+            )
         if ends_at < request.deadline:
             delay_s = ends_at - now
             attempt.timer = self.loop.call_later(
@@ -342,6 +384,16 @@
         """An attempt has ended; with the response that the client gets, if there is one."""
         request, backend = cast(Request, attempt.request), attempt.backend
         request.last_outcome = outcome
+        if outcome is not api.Outcome.SERVED:
+            record(
+                EventKind.ATTEMPT_ENDED,
+                request.request_id,
+                attempt=attempt.number,
+                backend=backend.name,
+                outcome=outcome,
+                sent=attempt.connection is not None,
+                after_ms=round((time.monotonic() - attempt.started_at) * 1000.0, 1),
+            )
         if attempt is request.streaming:
             self._finish_stream(request, outcome)
             self.registry.forget_if_unused(backend)
--- a/heronreel/serve/program.py
+++ b/heronreel/serve/program.py
@@ -17,6 +17,7 @@
 from heronreel.proxy.client_listener import ClientListener
 from heronreel.proxy.config import Config, load
 from heronreel.proxy.dispatcher import Dispatcher
+from heronreel.proxy.drain import drain, note_signal
 from heronreel.proxy.errors import ConfigError
 from heronreel.proxy.logs import ALWAYS, log_to_stderr
 from heronreel.routes.findings import Finding, Report
@@ -98,11 +99,11 @@
             self.health_checks = HealthChecks(file, self.mark_down)
         self.clients = ClientListener(loop, config, self.proxy)
 
-    async def listen(self) -> dict[str, tuple[str, int]]:
+    def listen(self) -> dict[str, tuple[str, int]]:
         """The address that each listener is bound to, by its name."""
         if self.platform:
-            return {"clients": await self.clients.listen(self.clients.address)}
-        return {row.name: await self.clients.listen(row.address) for row in self.file.listeners}
+            return {"clients": self.clients.listen(self.clients.address)}
+        return {row.name: self.clients.listen(row.address) for row in self.file.listeners}
 
     def mark_down(self, down: Collection[tuple[str, str]]) -> None:
         """Probes found these down, and no others: nothing new goes to them."""
@@ -158,13 +159,14 @@
 ) -> None:
     """Serve until SIGTERM or SIGINT, then drain.  Raises OSError if a listener can't be bound."""
     loop = asyncio.get_running_loop()
-    stop, reload = asyncio.Event(), asyncio.Event()
+    stop: asyncio.Future[float] = loop.create_future()  # when SIGTERM came
+    reload = asyncio.Event()
     probing = None
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
+        loop.add_signal_handler(number, note_signal, stop)
     loop.add_signal_handler(signal.SIGHUP, reload.set)
     server = Server(loop, path, file, platform)
-    bound = await server.listen()
+    bound = server.listen()
     ready(bound)
     if server.fleet_member is not None:
         server.fleet_member.start("{}:{}".format(*next(iter(bound.values()))), server.health_checks)
@@ -173,9 +175,9 @@
     gc.collect()
     gc.freeze()
     reloading = loop.create_task(_reloads(reload, server))
-    await stop.wait()
+    signalled_at = await stop
     log.info("draining")
-    await server.clients.drain()
+    await drain(server.clients, signalled_at)
     if probing is not None:
         probing.cancel()
     if server.fleet_member is not None:
