--- a/heronreel/fault_injection/relay.py
+++ b/heronreel/fault_injection/relay.py
@@ -14,6 +14,7 @@
 TRICKLE_INTERVAL_S = 0.01
 MAX_DUPLICATE_DELAY_S = 0.2
 DUPLICATE_TIMEOUT_S = 1.0
+LISTEN_BACKLOG = 1024  # connections that the kernel drops for want of room come a second late
 
 
 @dataclass
@@ -59,7 +60,7 @@
 
     async def start(self) -> Relay:
         """Listen on a free port."""
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0, backlog=LISTEN_BACKLOG)
         self.port = self.server.sockets[0].getsockname()[1]
         return self
 
--- a/heronreel/proxy/client_connection.py
+++ b/heronreel/proxy/client_connection.py
@@ -340,9 +340,13 @@
         self.body, self.headers, self.head, self.target = b"", [], None, b""
         self.requests_read += 1
         if self.request is None and not self.pipelined:
-            self._serve(read)
-            return
-        if len(self.pipelined) >= MAX_PIPELINED:  # not kept, and answered in its turn
+            if not self.listener.is_closing_connections():
+                self._serve(read)
+                return
+            # its response ends the connection: what was read with it is read to its end first, and answered
+            self.listener.loop.call_soon(self._serve_pipelined)
+        kept = MAX_PIPELINED if self.request else MAX_PIPELINED + 1
+        if len(self.pipelined) >= kept:  # answered in its turn, but not kept until then
             self.listener.dispatcher.budget.release(len(read.body))
             read = TOO_MANY_PIPELINED
         self.pipelined.append(read)
--- /dev/null
+++ b/heronreel/soak/judge.py
@@ -0,0 +1,137 @@
+"""Holds the records of a run against the platform's rules; knows nothing of the proxy.
+
+Times are judged with the run's own hold-ups added: what the plan held a process up, what it waited for a
+processor, and what this process was late itself.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import dataclass
+from enum import Enum
+
+from heronreel.soak.records import AttemptRecord, End, LifeRecord, RequestRecord, RunRecord
+
+CROSSING_S = 0.1  # a request sent so shortly before its connection's end may have crossed it unread
+GONE_S = 0.1  # after a client's end no attempt begins later than this
+TOLD_SLACK_S = 0.15  # that a backend may be promised beyond the client's time
+LATE_S = 0.5  # an answer later than this after the deadline is as good as none
+WIRE_S = 0.05  # the pages' slack on sockets
+RELAY_S = 0.1  # that a relay may hold an attempt's first byte back
+ATTEMPT_STEPS = 6  # turns of this process's event loop between a proxy's write and a backend's record
+
+
+class Rule(Enum):
+    """What was broken."""
+
+    LOST = "a forwarded request got no response"
+    UNANSWERED = "a connection ended long after its request, without a response"
+    RESET = "a connection was reset over a request"
+    LATE = "a response came too late"
+    AFTER_END = "an attempt began after its client had gone"
+    TOLD_TOO_MUCH = "a backend was promised more time than its client has"
+    REPEATED = "a request that is unsafe to repeat was sent again"
+    CRASHED = "the process ended with an error"
+    NOT_ENDED = "the process had to be killed"
+
+
+@dataclass(slots=True, frozen=True)
+class Breach:
+    """One break of a rule."""
+
+    rule: Rule
+    detail: str
+    request: RequestRecord | None = None
+
+
+@dataclass(slots=True)
+class Verdict:
+    """The breaks of a run, and how its requests ended."""
+
+    breaches: list[Breach]
+    requests: int
+    forwarded: int
+    statuses: dict[int, int]
+    crossed: int  # never forwarded, on a connection whose orderly end crossed them
+
+
+def judge(records: RunRecord) -> Verdict:
+    """The verdict on a run."""
+    attempts: dict[str, list[AttemptRecord]] = defaultdict(list)
+    for attempt in records.attempts:
+        attempts[attempt.ident].append(attempt)
+    breaches: list[Breach] = []
+    statuses: dict[int, int] = defaultdict(int)
+    crossed = 0
+    for request in records.requests.values():
+        slack_s = _slack_s(records, request)
+        of_request = attempts[request.ident]
+        if request.status is not None:
+            statuses[request.status] += 1
+        breaches += _judge_end(request, of_request, slack_s)
+        on_the_way_s = RELAY_S + ATTEMPT_STEPS * records.harness_lag_s
+        breaches += _judge_attempts(request, of_request, slack_s + on_the_way_s)
+        crossed += request.end is End.EOF and request.sent_at is not None and not of_request
+    for life in records.lives:
+        breaches += _judge_life(life)
+    forwarded = sum(1 for request in records.requests if attempts[request])
+    return Verdict(breaches, len(records.requests), forwarded, dict(statuses), crossed)
+
+
+def _slack_s(records: RunRecord, request: RequestRecord) -> float:
+    held = [
+        life.held_s + life.starved_s
+        for life in records.lives
+        if life.proxy == request.proxy and life.started_at <= request.begun_at <= life.ended_at
+    ]
+    return records.harness_lag_s + WIRE_S + max(held, default=0.0)
+
+
+def _judge_end(request: RequestRecord, attempts: list[AttemptRecord], slack_s: float) -> list[Breach]:
+    if request.status is not None:
+        assert request.sent_at is not None and request.ended_at is not None
+        late_s = request.ended_at - request.sent_at - max(request.deadline_s, request.turn_s) - LATE_S
+        return [Breach(Rule.LATE, f"{late_s:.3f} s", request)] if late_s > slack_s else []
+    if request.sent_at is None or request.end is End.LEFT or request.end is None:
+        return []
+    if attempts:
+        return [Breach(Rule.LOST, f"{request.end.value}, at {attempts[0].backend}", request)]
+    if request.end is End.WAITED:
+        return [Breach(Rule.UNANSWERED, request.end.value, request)]
+    if request.announced_close:
+        return []  # the response before it said that nothing after it is served
+    if request.end is End.RESET:
+        return [Breach(Rule.RESET, request.end.value, request)]
+    assert request.ended_at is not None
+    waited_s = request.ended_at - request.sent_at
+    if waited_s > CROSSING_S + slack_s:
+        return [Breach(Rule.UNANSWERED, f"{waited_s:.3f} s", request)]
+    return []
+
+
+def _judge_attempts(request: RequestRecord, attempts: list[AttemptRecord], slack_s: float) -> list[Breach]:
+    breaches = []
+    ran = [attempt for attempt in attempts if attempt.complete and not attempt.not_run]
+    if request.class_name == "pay" and len(ran) > 1:
+        breaches.append(Breach(Rule.REPEATED, f"{len(ran)} times", request))
+    for attempt in attempts:
+        if request.end is End.LEFT and request.ended_at is not None:
+            late_s = attempt.began_at - request.ended_at - GONE_S
+            if late_s > slack_s:
+                breaches.append(Breach(Rule.AFTER_END, f"{late_s:.3f} s", request))
+        if attempt.told_ms is not None and request.sent_at is not None:
+            left_s = max(0.0, request.sent_at + request.deadline_s - attempt.began_at)
+            excess_s = attempt.told_ms / 1000.0 - left_s
+            if excess_s > TOLD_SLACK_S + slack_s:
+                breaches.append(Breach(Rule.TOLD_TOO_MUCH, f"{excess_s:.3f} s", request))
+    return breaches
+
+
+def _judge_life(life: LifeRecord) -> list[Breach]:
+    breaches = []
+    if life.killed:
+        breaches.append(Breach(Rule.NOT_ENDED, life.proxy))
+    elif life.exit_code != 0:
+        breaches.append(Breach(Rule.CRASHED, f"{life.proxy}: {life.exit_code}"))
+    breaches += [Breach(Rule.CRASHED, line) for line in life.log if "Traceback" in line]
+    return breaches
--- /dev/null
+++ b/heronreel/soak/proxy_process.py
@@ -0,0 +1,102 @@
+"""One life of a real proxy process: its start, its signals and hold-ups, and SIGKILL at its earliest."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import socket
+from contextlib import suppress
+from pathlib import Path
+
+from heronreel.fault_injection.managed_process import ManagedProcess
+from heronreel.soak.plan import MAX_HOLD_S, Hold, Shutdown
+from heronreel.soak.records import LifeRecord, now
+
+POLL_S = 0.005
+NS_PER_S = 1e9
+
+
+def free_port() -> int:
+    """A port that was free a moment ago."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+class ProxyLife:
+    """A process that serves for a while and is then shut down."""
+
+    def __init__(self, name: str, process: ManagedProcess, port: int) -> None:
+        self.name = name
+        self.process = process
+        self.port = port
+        self.record = LifeRecord(name, now(), 0.0, log=process.lines)
+
+    @classmethod
+    async def start(cls, name: str, config: Path) -> ProxyLife:
+        """Start a process and wait until it listens."""
+        port = free_port()
+        environment = {"LB_NAME": name, "LB_LISTEN": f"127.0.0.1:{port}", "LB_CONFIG": str(config)}
+        process = await ManagedProcess.start(name, ["heronreel.proxy"], environment)
+        await process.wait_for_line("listening on")
+        return cls(name, process, port)
+
+    async def shut_down(self, shutdown: Shutdown, kill_after_s: float) -> None:
+        """Send SIGTERM and the other signals, and SIGKILL at its earliest; returns once it has ended."""
+        first_at = min([0.0, *(each.at_s for each in shutdown.signals)])
+        begin = asyncio.get_running_loop().time() - first_at  # of the count: when SIGTERM is due
+        tasks = [
+            asyncio.create_task(self._signal_at(begin, each.at_s, each.number)) for each in shutdown.signals
+        ]
+        if shutdown.hold:
+            tasks.append(asyncio.create_task(self._hold(begin, shutdown.hold)))
+        await _sleep_until(begin)
+        self._send(signal.SIGTERM)
+        self.record.signalled_at = now()
+        starved_before_s = self._starved_s()
+        while self.process.process.returncode is None:
+            self.record.starved_s = max(self.record.starved_s, self._starved_s() - starved_before_s)
+            # a busy machine's delays are not among the hold-ups that a process has to bear
+            allowed_s = kill_after_s + max(0.0, self.record.starved_s - MAX_HOLD_S)
+            if now() > self.record.signalled_at + allowed_s and not self.record.killed:
+                self.record.killed = True
+                self._send(signal.SIGKILL)
+            with suppress(TimeoutError):
+                await asyncio.wait_for(self.process.process.wait(), POLL_S)
+        self.record.ended_at, self.record.exit_code = now(), self.process.process.returncode
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _send(self, number: signal.Signals) -> None:
+        with suppress(ProcessLookupError):
+            self.process.process.send_signal(number)
+
+    async def _signal_at(self, begin: float, at_s: float, number: signal.Signals) -> None:
+        await _sleep_until(begin + at_s)
+        self._send(number)
+
+    async def _hold(self, begin: float, hold: Hold) -> None:
+        await _sleep_until(begin + hold.at_s)
+        held_from = now()
+        self._send(signal.SIGSTOP)
+        try:
+            await asyncio.sleep(hold.for_s)
+        finally:
+            self._send(signal.SIGCONT)
+            self.record.held_s = now() - held_from
+
+    def _starved_s(self) -> float:
+        """How long the process has waited for a processor since its start."""
+        with suppress(OSError, IndexError):
+            return int(Path(f"/proc/{self.process.process.pid}/schedstat").read_text().split()[1]) / NS_PER_S
+        return 0.0
+
+    async def stop(self) -> None:
+        """End it, whatever became of it."""
+        self._send(signal.SIGKILL)
+        await self.process.process.wait()
+
+
+async def _sleep_until(at: float) -> None:
+    await asyncio.sleep(at - asyncio.get_running_loop().time())
--- /dev/null
+++ b/heronreel/soak/run.py
@@ -0,0 +1,176 @@
+"""Plays a plan: backends behind relays that inject faults, the list service, proxies and their clients."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import tempfile
+from itertools import count
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from heronreel.fault_injection.relay import LinkFaults, Relay
+from heronreel.soak.backend import RecordingBackend
+from heronreel.soak.clients import CLASSES, PAY, READ, THINK_S, THINK_S_PER_CLIENT, Client, ClientWorld
+from heronreel.soak.list_service import ListService, endpoint, whole_list
+from heronreel.soak.plan import BackendFault, Plan, Shutdown
+from heronreel.soak.proxy_process import ProxyLife
+from heronreel.soak.records import RunRecord, now
+
+LAG_INTERVAL_S = 0.005
+RESET_INTERVAL_S = 0.15
+SLOW_WAY_S, TRICKLE_BYTES = 0.06, 400
+CLIENT_INTERVAL_S = 0.002
+CLIENT_END_S = 12.0  # more than any client waits
+SOCKETS, MEMORY_MB = 1024, 96
+EFFECTS = {READ: "idempotent", PAY: "at_most_once"}
+
+
+async def play(plan: Plan) -> RunRecord:
+    """Play a plan, and return what was recorded."""
+    with tempfile.TemporaryDirectory() as folder:
+        return await _Run(plan, Path(folder)).play()
+
+
+class _Run:
+    """One play of a plan."""
+
+    def __init__(self, plan: Plan, folder: Path) -> None:
+        self.plan = plan
+        self.folder = folder
+        self.random = Random(plan.seed)
+        self.records = RunRecord()
+        self.idents, self.connections = count(1), count(1)
+        self.backends: list[list[RecordingBackend]] = []  # of each proxy, so that faults are its own
+        self.relays: list[list[Relay]] = []
+
+    async def play(self) -> RunRecord:
+        lag = asyncio.create_task(self._measure_lag())
+        try:
+            proxies = range(len(self.plan.proxies))
+            await asyncio.gather(*(self._play_proxy(place) for place in proxies))
+        finally:
+            lag.cancel()
+        return self.records
+
+    async def _measure_lag(self) -> None:
+        while True:
+            due_at = now() + LAG_INTERVAL_S
+            await asyncio.sleep(LAG_INTERVAL_S)
+            self.records.harness_lag_s = max(self.records.harness_lag_s, now() - due_at)
+
+    async def _play_proxy(self, place: int) -> None:
+        name = f"n{place}"
+        random = Random(self.plan.seed * 1000 + place)
+        count_of_backends = len(self.plan.proxies[place][0].faults)
+        backends = [
+            RecordingBackend(f"{name}-b{number}", self.records, self.plan.service_s, random)
+            for number in range(count_of_backends)
+        ]
+        relays = []
+        for backend in backends:
+            await backend.start()
+            relays.append(await Relay(("127.0.0.1", backend.port), random).start())
+        service = ListService([
+            endpoint(backend.name, relay.port) for backend, relay in zip(backends, relays, strict=True)
+        ])  # fmt: skip
+        await service.start()
+        config = self.folder / f"{name}.json"
+        config.write_text(json.dumps(_configuration(self.plan, service, name)))
+        try:
+            for shutdown in self.plan.proxies[place]:
+                await self._play_life(name, config, shutdown, backends, relays, random)
+        finally:
+            service.stop()
+            for relay, backend in zip(relays, backends, strict=True):
+                await relay.stop()
+                backend.stop()
+
+    async def _play_life(
+        self,
+        name: str,
+        config: Path,
+        shutdown: Shutdown,
+        backends: list[RecordingBackend],
+        relays: list[Relay],
+        random: Random,
+    ) -> None:
+        for backend, relay in zip(backends, relays, strict=True):
+            backend.fault, relay.responses, relay.requests = BackendFault.NONE, LinkFaults(), LinkFaults()
+        life = await ProxyLife.start(name, config)
+        self.records.lives.append(life.record)
+        faults = None
+        try:
+            terminate_at = now() + shutdown.serve_s
+            world = ClientWorld(
+                self.records, name, life.port, self.plan.longest_deadline_s,
+                connect_until=terminate_at + shutdown.new_connections_s,
+                stop_at=terminate_at + self.plan.kill_after_s,
+                connections=self.connections, idents=self.idents,
+                think_s=THINK_S + THINK_S_PER_CLIENT * len(shutdown.clients),
+            )  # fmt: skip
+            clients = [
+                asyncio.create_task(_run_client(Client(world, kind, Random(random.random())), place))
+                for place, kind in enumerate(shutdown.clients)
+            ]
+            first_s = min([0.0, *(each.at_s for each in shutdown.signals)])
+            await asyncio.sleep(terminate_at + first_s - now())
+            faults = asyncio.create_task(_inject(shutdown, backends, relays, random))
+            await life.shut_down(shutdown, self.plan.kill_after_s)
+            async with asyncio.timeout(CLIENT_END_S):
+                await asyncio.gather(*clients)
+        finally:
+            if faults:
+                faults.cancel()
+            await life.stop()
+
+
+async def _run_client(client: Client, place: int) -> None:
+    """Clients come one after the other: that all come at once is not what is tested here."""
+    await asyncio.sleep(place * CLIENT_INTERVAL_S)
+    await client.run()
+
+
+async def _inject(
+    shutdown: Shutdown, backends: list[RecordingBackend], relays: list[Relay], random: Random
+) -> None:
+    """Set the backends' faults, and reset connections for as long as this runs."""
+    for fault, backend, relay in zip(shutdown.faults, backends, relays, strict=True):
+        backend.fault = fault
+        if fault is BackendFault.SLOW_WAY:
+            relay.requests, relay.responses = (
+                LinkFaults(max_delay_s=SLOW_WAY_S),
+                LinkFaults(max_delay_s=SLOW_WAY_S),
+            )
+        elif fault is BackendFault.TRICKLING:
+            relay.responses = LinkFaults(trickle_bytes=TRICKLE_BYTES)
+    while True:
+        await asyncio.sleep(random.uniform(0.5, 1.5) * RESET_INTERVAL_S)
+        for fault, relay in zip(shutdown.faults, relays, strict=True):
+            if fault is BackendFault.RESETTING:
+                relay.reset_connections()
+
+
+def _configuration(plan: Plan, service: ListService, name: str) -> dict[str, Any]:
+    deadline_ms = plan.longest_deadline_s * 1000.0
+    categories = []
+    for request_class in CLASSES:
+        category = {
+            "Name": request_class.name, "OnTimeMs": deadline_ms / 2, "HardLimitMs": deadline_ms,
+            "Worth": 1.0, "LateWorth": 0.5, "Effect": EFFECTS.get(request_class, "deduplicated"),
+        }  # fmt: skip
+        if request_class.keyed:
+            category |= {"DedupScope": "all", "RepeatWindowMs": 5000.0}
+        categories.append(category)
+    return {
+        "name": name, "discovery": service.address, "seed": f"{plan.seed + 1:x}",
+        "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS},
+        "known": whole_list(service.endpoints),
+        "settings": {
+            "Balancers": len(plan.proxies), "Categories": categories, "Discovery": "ask",
+            "FailureDomains": ["a"], "Zone": "a",
+            "Limits": {"MostTries": 4, "ConnectTimeoutMs": 200.0, "ConnIdleMs": 15000.0},
+            "Rules": {"MustAskInMs": 800.0, "DrainGraceMs": 500.0},
+        },
+    }  # fmt: skip
--- /dev/null
+++ b/tests/proxy/test_accepting.py
@@ -0,0 +1,87 @@
+"""Accepting while the system refuses descriptors, and the last connections before the listener closes."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import resource
+import signal
+import time
+from pathlib import Path
+
+from tests.support.lifecycle import KeptConnection, ended, named, stop, with_short_limit
+from tests.support.loopback import (
+    Discovery,
+    ProxyProcess,
+    configuration,
+    entry,
+    proxy_with_backend,
+    read_response,
+    request,
+    run,
+    running_proxy,
+)
+
+FRESH = 20  # connections while none can be accepted
+MAX_BUSY_SHARE = 0.25  # of a core, while accept fails
+FAULT_S = 1.0
+
+
+def limit_descriptors(proxy: ProxyProcess, soft: int) -> None:
+    """Have the process's next descriptors refused (EMFILE), or allowed again."""
+    _, hard = resource.prlimit(proxy.process.pid, resource.RLIMIT_NOFILE)
+    resource.prlimit(proxy.process.pid, resource.RLIMIT_NOFILE, (soft, hard))
+
+
+def processor_time_s(proxy: ProxyProcess) -> float:
+    fields = Path(f"/proc/{proxy.process.pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def test_connections_that_cannot_be_accepted_wait_and_are_served_later(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        backend = named("b")
+        async with proxy_with_backend(tmp_path, backend) as proxy:
+            kept = KeptConnection(proxy)
+            await kept.open("k1")
+            usual, _ = resource.prlimit(proxy.process.pid, resource.RLIMIT_NOFILE)
+            limit_descriptors(proxy, 3)
+            waiting = [asyncio.create_task(proxy.send_request(f"w{number}")) for number in range(FRESH)]
+            assert "error=EMFILE" in await proxy.log_line("accept failed")
+            busy_before_s, began_at = processor_time_s(proxy), time.monotonic()
+            while time.monotonic() < began_at + FAULT_S:  # those that are open are served meanwhile
+                await kept.send("k2")
+                assert (await read_response(kept.reader))[0] == "200"
+                await asyncio.sleep(FAULT_S / 10)
+            took_s = time.monotonic() - began_at
+            assert processor_time_s(proxy) - busy_before_s < MAX_BUSY_SHARE * took_s
+            assert not any(task.done() for task in waiting)
+            limit_descriptors(proxy, usual)
+            assert await asyncio.gather(*waiting) == [("200", b"b")] * FRESH
+
+    run(scenario())
+
+
+def test_connections_in_the_backlog_when_the_listener_closes_are_answered(tmp_path: Path) -> None:
+    """The process stands still until no more connections are due, and finds these in the kernel's queue."""
+
+    async def scenario() -> None:
+        async with named("b") as backend, Discovery() as discovery:
+            discovery.entries = [entry("b1", backend.address)]
+            config = with_short_limit(configuration(discovery.address, *discovery.entries))
+            async with running_proxy(tmp_path, config) as proxy:
+                await discovery.watched.wait()
+                proxy.signal(signal.SIGTERM)
+                await proxy.log_line("drain started")
+                await stop(proxy)
+                opened = [await proxy.connect() for _ in range(FRESH)]
+                for number, (_, writer) in enumerate(opened):
+                    writer.write(request(f"w{number}"))
+                await asyncio.sleep(1.0)  # its listener's last moment has passed when it goes on
+                proxy.signal(signal.SIGCONT)
+                statuses = [(await read_response(reader))[0] for reader, _ in opened]
+                assert statuses == ["503"] * FRESH
+                assert backend.seen == []
+                assert await ended(proxy, 10.0) == 0
+
+    run(scenario())
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the soak of shutdowns, and a short soak."""
