Agent and member: nothing is accepted once nobody carries it out

An agent stopped its supervisors first and its HTTP server last: a command in between changed nothing durable, got no result and held its connection for a second; one whose write was under way was made durable and never answered. A member of the group failed its open requests and then admitted further ones, which waited for their whole time-out. Change: the agent's server ends first, so commands under way get their result and later ones are refused; a stopping member answers that it is stopped.

--- a/heronreel/coordinator/node.py
+++ b/heronreel/coordinator/node.py
@@ -202,6 +202,7 @@
         Raises:
             RequestError: The request was not performed, or its outcome is unknown.
         """
+        self._require_running()
         ticket = next(self.tickets)
         timeout_s = self.group.settings.request_ms / 1000
         deadline = self.clock() + timeout_s
@@ -210,12 +211,26 @@
         return await self.pending_requests.wait(ticket, timeout_s)
 
     def open_watch(self, wanted: gateway_server.WatchRequest) -> WatchSubscription:
-        """Have the core notify of events; the first notification says whether the watch was created."""
+        """Have the core notify of events; the first notification says whether the watch was created.
+
+        Raises:
+            RequestError: This member is stopping.
+        """
+        self._require_running()
         subscription = self.watches.open(next(self.tickets))
         number = subscription.number
         self.handle_event(lambda _: self.service.watch(number, wanted.key, wanted.end, wanted.start))
         return subscription
 
+    def _require_running(self) -> None:
+        """Nothing is admitted once the open requests were failed: nobody would complete it.
+
+        Raises:
+            RequestError: This member is stopping.
+        """
+        if self.stopping:
+            raise RequestError(StatusCode.UNAVAILABLE, "etcdserver: server stopped")
+
     def close_watch(self, subscription: WatchSubscription) -> None:
         """End a watch."""
         self.watches.close(subscription.number)
--- a/heronreel/fleet/agent_server.py
+++ b/heronreel/fleet/agent_server.py
@@ -81,10 +81,11 @@
             tasks = [asyncio.ensure_future(supervisor.run()) for supervisor in supervisors]
             tasks += [asyncio.ensure_future(self._report(session, supervisor)) for supervisor in supervisors]
             await stop.wait()
+            # commands first: one that is accepted while nothing carries it out any more has no result
+            await self.runner.cleanup()
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
-        await self.runner.cleanup()
 
     async def _listen(self) -> None:
         agent = self.settings.agent
--- a/tests/coordinator/test_components.py
+++ b/tests/coordinator/test_components.py
@@ -12,8 +12,9 @@
 from heronreel.coordination.ballots import NO_BALLOT, NO_VERSION
 from heronreel.coordination.crash_points import CrashPoints
 from heronreel.coordination.errors import RequestError, StatusCode
+from heronreel.coordination.gateway_server import WatchRequest
 from heronreel.coordination.messages import Accept, Hello
-from heronreel.coordination.model import PutResponse
+from heronreel.coordination.model import PutResponse, Range
 from heronreel.coordination.request_batch import RequestCompleted
 from heronreel.coordination.settings import GroupConfig, MemberAddress
 from heronreel.coordination.watches import WatchNotified
@@ -22,6 +23,7 @@
 from heronreel.coordinator.disk import MemberDisk
 from heronreel.coordinator.disk_writer import DiskWriter
 from heronreel.coordinator.errors import CoordinatorError, UnknownMemberError, WrongMemberError
+from heronreel.coordinator.node import MemberNode
 from heronreel.coordinator.pending_requests import PendingRequests
 from heronreel.coordinator.server import run_server
 from heronreel.coordinator.transport import Transport
@@ -66,6 +68,22 @@
     asyncio.run(run())
 
 
+def test_nothing_is_admitted_once_a_member_is_stopping(tmp_path: Path) -> None:
+    """The open requests were failed, so a later one would wait for nobody."""
+
+    async def run() -> None:
+        node = MemberNode(GroupConfig((MemberAddress("a", "127.0.0.1:1"),)), "a", MemberDisk(tmp_path, "a"))
+        await node.start()
+        await node.stop()
+        with pytest.raises(RequestError, match="stopped") as refused:
+            await node.request(Range(b"key"))
+        assert refused.value.code is StatusCode.UNAVAILABLE
+        with pytest.raises(RequestError, match="stopped"):
+            node.open_watch(WatchRequest(b"key", b"", 0, False))
+
+    asyncio.run(run())
+
+
 def test_connections_that_are_idle_for_too_long_are_aborted(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(connections, "MAX_IDLE_S", 0.05)
     monkeypatch.setattr(connections, "SWEEP_INTERVAL_S", 0.01)
