--- a/heronreel/proxy/__main__.py
+++ b/heronreel/proxy/__main__.py
@@ -11,7 +11,7 @@
 import time
 from collections.abc import Mapping
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import uvloop
 
@@ -23,6 +23,9 @@
 from heronreel.proxy.logs import ALWAYS, log_to_stderr
 from heronreel.proxy.shared_state import SharedState
 
+if TYPE_CHECKING:
+    from heronreel.proxy.admin_api import AdminServer
+
 SUCCESSOR_LIST_TIMEOUT_S = 3.0  # that a successor waits for discovery; it must serve within 6 s
 PUSHED_LIST_TIMEOUT_S = 1.0  # and a process whose agent has the list, which responds unless discovery is down
 POLL_INTERVAL_S = 0.02
@@ -49,8 +52,9 @@
     clients = ClientListener(loop, config, dispatcher)
     inherited, shared = inherited_descriptor(os.environ), open_shared_state(os.environ, config)
     ready = asyncio.Event()
+    admin = None
     if config.admin_address:
-        await _start_admin_api(loop, config.admin_address, dispatcher, clients, shared, ready)
+        admin = _start_admin_api(loop, config.admin_address, dispatcher, clients, shared, ready)
     if inherited is not None and shared and shared.other_processes():
         # the predecessor serves until we know as much as it does
         await _wait_for_list(dispatcher, SUCCESSOR_LIST_TIMEOUT_S, stop)
@@ -68,6 +72,8 @@
         shared.unregister_process()
     has_successor = inherited is not None and bool(shared and shared.other_processes())
     await drain(clients, signalled_at, has_successor)
+    if admin:
+        await admin.close()
     reloading.cancel()
 
 
@@ -90,14 +96,14 @@
     return shared
 
 
-async def _start_admin_api(
+def _start_admin_api(
     loop: asyncio.AbstractEventLoop,
     address: tuple[str, int],
     dispatcher: Dispatcher,
     clients: ClientListener,
     shared: SharedState | None,
     ready: asyncio.Event,
-) -> None:
+) -> AdminServer:
     # only here: a proxy that nobody calls need not load it
     from heronreel.proxy.admin_api import AdminCommands, AdminServer
 
@@ -106,7 +112,8 @@
     server = AdminServer(
         loop, lambda: ready.is_set() and not clients.draining and dispatcher.is_serving(), commands.execute
     )
-    log.info("admin API on %s:%d", *await server.listen(address), extra=ALWAYS)
+    log.info("admin API on %s:%d", *server.listen(address), extra=ALWAYS)
+    return server
 
 
 async def _wait_for_list(dispatcher: Dispatcher, timeout_s: float, stop: asyncio.Future[float]) -> None:
--- a/heronreel/proxy/admin_api.py
+++ b/heronreel/proxy/admin_api.py
@@ -15,6 +15,7 @@
 
 import httptools
 
+from heronreel.proxy.acceptor import Acceptor
 from heronreel.proxy.client_listener import ClientListener, bind_listener
 from heronreel.proxy.dispatcher import Dispatcher
 from heronreel.proxy.errors import UnreadableMessageError
@@ -25,6 +26,7 @@
 CALL_TIMEOUT_S = 6.0  # from the connection to the call's last byte; slow callers take up to 4 s
 MAX_CALL_BYTES = 4 << 10
 BACKLOG = 64
+LAST_CALLS_S, LAST_CALLS_POLL_S = 0.03, 0.005  # at the process's end
 PATH_PREFIX = "/admin/"
 COMMANDS = ("cordon", "uncordon", "quiesce", "resume")
 
@@ -136,19 +138,26 @@
         self.execute = execute
         self.connections: dict[AdminConnection, None] = {}  # the longest waiting first
 
-    async def listen(self, address: tuple[str, int]) -> tuple[str, int]:
+    def listen(self, address: tuple[str, int]) -> tuple[str, int]:
         """The address that is bound.
 
         Raises:
             OSError: The address can't be bound.
         """
         listener = bind_listener(address)
-        self.server = await self.loop.create_server(
-            lambda: AdminConnection(self), sock=listener, backlog=BACKLOG
-        )
+        listener.listen(BACKLOG)
         bound = listener.getsockname()
+        self.acceptor = Acceptor(self.loop, listener, lambda: AdminConnection(self))
         return bound[0], bound[1]
 
+    async def close(self) -> None:
+        """Accept no more calls, and answer for a moment those that have come."""
+        self.acceptor.close()
+        closes_at = time.monotonic() + LAST_CALLS_S
+        await asyncio.sleep(0)  # what was accepted just now is counted
+        while self.connections and time.monotonic() < closes_at:
+            await asyncio.sleep(LAST_CALLS_POLL_S)
+
     def status_of(self, method: str, path: str, body: str) -> int:
         """Carry out one call; the status of its response."""
         if path == PATH_PREFIX + "health":
--- a/heronreel/proxy/client_connection.py
+++ b/heronreel/proxy/client_connection.py
@@ -508,6 +508,7 @@
         self.listener.idle.pop(self, None)
         self.phase, self.progress_bytes = Phase.CLOSING, 0
         self.due_at = time.monotonic() + LINGER_S
+        self.transport.resume_reading()  # what lies unread when the connection closes would reset it
         if self.transport.can_write_eof() and not self.transport.is_closing():
             self.transport.write_eof()
 
