--- a/heronreel/proxy/client_connection.py
+++ b/heronreel/proxy/client_connection.py
@@ -1,4 +1,4 @@
-"""One client connection: it reads one request at a time and writes the responses in order.
+"""The reading side of a client's connection: one request at a time, with the bounds on what clients send.
 
 A request is handed on when its last byte is read.  What is malformed or too large is rejected here and the
 connection ends; what finds no room is rejected before anything ran.  No connection waits without end: each
@@ -10,16 +10,12 @@
 import asyncio
 import math
 import time
-from collections import deque
 from typing import cast
 
 import httptools
 
-from heronreel.proxy.backend_connection import BackendConnection, Response, ResponseBodySink
 from heronreel.proxy.client_interface import (
-    IDLE_TIMEOUT_S,
     LARGE_BODY_SHARE,
-    LINGER_S,
     MAX_BODY_PAUSE_S,
     MAX_FRAMING_BYTES,
     MAX_HEADER_FIELDS,
@@ -30,11 +26,11 @@
     REQUEST_TIMEOUT_S,
     SMALL_BODY_BYTES,
     TOO_MANY_PIPELINED,
-    WRITE_TIMEOUT_S,
     ConnectionRegistry,
     Phase,
     ReadRequest,
 )
+from heronreel.proxy.client_writer import ClientWriter
 from heronreel.proxy.errors import UnreadableMessageError
 from heronreel.proxy.event_log import CloseReason, EventKind, RefusalReason, record
 from heronreel.proxy.http1 import (
@@ -48,7 +44,7 @@
     is_host,
     response_head,
 )
-from heronreel.proxy.request import Request, RequestHead
+from heronreel.proxy.request import RequestHead
 from heronreel.proxy.request_validation import (
     MAX_NUMBER_DIGITS,
     VERSIONS,
@@ -56,54 +52,34 @@
     is_well_framed,
     read_request_head,
 )
-from heronreel.proxy.socket_state import has_unread_input, peer_has_closed
 from heronreel.proxy.streams import (
-    LAST_CHUNK,
     MAX_BODY_BYTES,
     MAX_BUFFERED_REQUEST_BYTES,
     RequestBodyStream,
-    encode_chunk,
 )
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(ClientWriter):
     """One client connection."""
 
     __slots__ = (
-        "admitted", "body", "body_bytes", "chunked", "close_after_response", "declared_length", "due_at",
-        "error_reason", "error_status", "head", "header_bytes", "headers", "is_http10", "listener",
-        "number", "parser", "phase", "pipelined", "progress_bytes", "reading_paused", "request",
-        "requests_read", "response_source", "started_at", "target", "transport", "upload", "writing_paused",
+        "admitted", "body", "body_bytes", "declared_length", "error_reason", "error_status", "head",
+        "header_bytes", "headers", "parser", "requests_read", "started_at", "target",
     )  # fmt: skip
 
     def __init__(self, listener: ConnectionRegistry[ClientConnection]) -> None:
-        self.listener = listener
-        self.number = 0  # in the log
-        self.transport: asyncio.Transport
+        super().__init__(listener)
         self.parser = httptools.HttpRequestParser(self)
-        self.phase = Phase.IDLE
         self.target = b""
         self.headers: Headers = []
         self.body: bytes | bytearray = b""
         self.head: RequestHead | None = None  # of the request being read; None: no backend is needed
         self.error_status = 0  # of the response to the request being read, where no backend is needed
         self.error_reason: RefusalReason | None = None
-        # bytes of the head, or since the body last came on; after the last response, of anything
-        self.progress_bytes = 0
         self.header_bytes = self.body_bytes = 0
-        self.pipelined: deque[ReadRequest] = deque()
         self.requests_read = 0
-        self.request: Request | None = None
-        self.upload: RequestBodyStream | None = None  # the body being read, where it is forwarded as it comes
         self.declared_length = 0  # of the body; 0: unknown
-        self.reading_paused = False  # nobody takes what we read of a long body
-        self.response_source: BackendConnection | None = None  # of the response being forwarded
-        self.chunked = False  # that response is sent in chunks
-        self.is_http10 = False  # the request whose response is due is of HTTP/1.0
-        self.close_after_response = False  # no request after this one
-        self.writing_paused = False
         self.started_at = time.monotonic()  # of the request being read; infinite between requests
-        self.due_at = self.started_at + REQUEST_TIMEOUT_S  # of the connection's next step
         self.admitted = True
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -389,105 +365,6 @@
         request_id = head.request_id if head else b""
         record(EventKind.REQUEST_REFUSED, request_id, status=status, reason=reason, connection=self.number)
 
-    def _record_close(self, reason: CloseReason) -> None:
-        owed = self.request.request_id if self.request else b""
-        record(
-            EventKind.CONNECTION_CLOSED, owed, reason=reason, connection=self.number, phase=self.phase.name
-        )
-
-    def _serve_pipelined(self) -> None:
-        if self.writing_paused:
-            return  # until the client has taken the responses before it
-        if self.pipelined and self.request is None and not self.transport.is_closing():
-            read = self.pipelined.popleft()
-            if not self.pipelined and self.phase is not Phase.CLOSING and not self.writing_paused:
-                self.transport.resume_reading()
-            self._serve(read)
-
-    # Responding.
-
-    def respond(self, status: int, header_lines: bytes, body: bytes = b"") -> None:
-        """Send the whole response."""
-        self.close_after_response = self.close_after_response or self.listener.is_closing_connections()
-        if self.upload:  # its body still comes, and nobody wants the rest
-            self.upload, self.close_after_response = None, True
-            self.phase = Phase.CLOSING
-            if self.reading_paused:
-                self.reading_paused = False
-                self.transport.resume_reading()  # to be dropped
-        close = self.close_after_response and not self.pipelined
-        self.transport.write(response_head(status, header_lines, len(body), close) + body)
-        self._on_responded()
-
-    def _on_responded(self) -> None:
-        self.request = None
-        if self.pipelined:
-            self.listener.loop.call_soon(self._serve_pipelined)
-        elif self.close_after_response:
-            self._linger()
-        elif self.phase is Phase.IDLE:
-            self.due_at = time.monotonic() + IDLE_TIMEOUT_S
-            self.listener.idle[self] = None
-
-    def begin_stream(
-        self, connection: BackendConnection, start: Response, length: int | None
-    ) -> ResponseBodySink | None:
-        """Take a long response as it comes; `length` None: unknown."""
-        if self.transport.is_closing() or self.upload:
-            return None
-        self.chunked = length is None and not self.is_http10
-        ends_with_connection = length is None and self.is_http10
-        self.close_after_response = (
-            self.close_after_response or self.listener.is_closing_connections() or ends_with_connection
-        )
-        self.response_source = connection
-        close = self.close_after_response and not self.pipelined
-        self.transport.write(response_head(start.status, start.header_lines, length, close, self.chunked))
-        self.write_body(start.body)
-        return self
-
-    def write_body(self, data: bytes) -> None:
-        """Send more of a long response."""
-        if data:
-            self.transport.write(encode_chunk(data) if self.chunked else data)
-
-    def finish_stream(self) -> None:
-        """The last byte of a long response was sent."""
-        self.response_source = None
-        if self.chunked:
-            self.transport.write(LAST_CHUNK)
-        self._on_responded()
-
-    def abort_stream(self) -> None:
-        """A long response can't be finished: an end without its last byte shows it."""
-        self.response_source = None
-        self.abort(CloseReason.STREAM_CUT)
-
-    def has_disconnected(self) -> bool:
-        """Whether the client is gone: one that ends its sending is, whether the connection is read or not."""
-        if not peer_has_closed(self.transport):
-            return False
-        self.transport.abort()
-        return True
-
-    def pause_writing(self) -> None:
-        """The client reads too slowly: nothing more is read from it until it has caught up."""
-        self.writing_paused = True
-        self.due_at = time.monotonic() + WRITE_TIMEOUT_S
-        self.transport.pause_reading()
-        if self.response_source:
-            self.response_source.set_reading_paused(True)
-
-    def resume_writing(self) -> None:
-        """The client has caught up."""
-        self.writing_paused = False
-        self.due_at = math.inf if self.request else time.monotonic() + LINGER_S
-        if not self.pipelined and not self.reading_paused:
-            self.transport.resume_reading()
-        if self.response_source:
-            self.response_source.set_reading_paused(False)
-        self._serve_pipelined()
-
     def _reject(self, status: int, reason: RefusalReason) -> None:
         """Reject what can't be served.  Responses owed for what came before it are sent first, and alone."""
         self._record_refusal(status, reason, self.head)
@@ -503,27 +380,11 @@
             self.transport.write(response_head(status, DATE_LINE.now(), 0, True))
             self._linger()
 
-    def _linger(self) -> None:
-        """End our side, and read on for a while, lest a reset overtake the response."""
-        self.listener.idle.pop(self, None)
-        self.phase, self.progress_bytes = Phase.CLOSING, 0
-        self.due_at = time.monotonic() + LINGER_S
-        self.transport.resume_reading()  # what lies unread when the connection closes would reset it
-        if self.transport.can_write_eof() and not self.transport.is_closing():
-            self.transport.write_eof()
-
-    # Ending.
-
     def reject_incomplete(self) -> None:
         """No request that is complete from now on is served, so what is not complete need not come."""
         if self.upload or self.phase in (Phase.HEAD, Phase.BODY):
             self._reject(503, RefusalReason.DRAINING)
 
-    def close_between_requests(self, reason: CloseReason) -> None:
-        """Close it unless a response is owed; the connection ends behind that one."""
-        if self.phase is Phase.IDLE and self.request is None and not self.pipelined:
-            self.close(reason)
-
     def on_overdue(self) -> None:
         """The connection's next step was not made in time."""
         if self.upload:
@@ -540,25 +401,6 @@
         else:
             self.abort(CloseReason.LINGERED)
 
-    def close(self, reason: CloseReason) -> None:
-        """Close a connection between requests, unless something has just come, which is read first.
-
-        Only our side ends: a request that crosses this is read and dropped, and its client sends it again.  A
-        connection closed over it would be reset, under the response before it too.
-        """
-        if self.phase is Phase.CLOSING or has_unread_input(self.transport):
-            return
-        self._record_close(reason)
-        self.listener.silent.pop(self, None)
-        self.close_after_response = True
-        self._linger()
-
-    def abort(self, reason: CloseReason) -> None:
-        """Close at once; the descriptor is as good as free."""
-        self._record_close(reason)
-        self.listener.forget(self)
-        self.transport.abort()
-
     def eof_received(self) -> bool:
         """The client has ended its sending, and counts as gone."""
         return False
