Soak: hand-overs on a shared socket and quiescing; accept pauses after failures of single connections too

Four in ten proxies of the soak's runs now hand a listening socket over to a successor started beside them, half of these are quiesced first. An error of a single connection that comes eight times in a row (EPROTO) makes accept pause too, where it would spin.

--- a/heronreel/fault_injection/managed_process.py
+++ b/heronreel/fault_injection/managed_process.py
@@ -35,9 +35,13 @@
 
     @classmethod
     async def start(
-        cls, name: str, arguments: Sequence[str], env: Mapping[str, str] | None = None
+        cls,
+        name: str,
+        arguments: Sequence[str],
+        env: Mapping[str, str] | None = None,
+        inherited: Sequence[int] = (),
     ) -> ManagedProcess:
-        """Run `python -m` with these arguments; `env` is added to the environment."""
+        """Run `python -m` with these arguments, more environment and further descriptors that it inherits."""
         process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
@@ -46,6 +50,7 @@
             stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.PIPE,
             env={**os.environ, **(env or {})},
+            pass_fds=inherited,
         )
         return cls(name, process)
 
--- a/heronreel/proxy/acceptor.py
+++ b/heronreel/proxy/acceptor.py
@@ -21,6 +21,7 @@
 
 MAX_ACCEPTS = 64  # in one turn of the loop, so that a crowd delays nobody for long
 MIN_PAUSE_S, MAX_PAUSE_S = 0.005, 0.1  # after a failure of `accept`
+MAX_FAILURES = 8  # in a row, of single connections; then it is no matter of theirs
 # accept(2): errors of the new connection, which is gone; the next one may be well
 CONNECTION_ERRORS = frozenset((
     errno.ECONNABORTED, errno.EPROTO, errno.ENOPROTOOPT, errno.ENETDOWN, errno.EHOSTDOWN, errno.ENONET,
@@ -42,6 +43,7 @@
         self.listener = listener
         self.make_protocol = make_protocol
         self.pause_s = MIN_PAUSE_S
+        self.failures = 0  # in a row
         self.resume_timer: asyncio.TimerHandle | None = None
         self.opening: set[Opening] = set()
         listener.setblocking(False)
@@ -70,11 +72,12 @@
                 return False
             except OSError as error:
                 record(EventKind.ACCEPT_FAILED, error=errno.errorcode.get(error.errno or 0, str(error)))
-                if error.errno in CONNECTION_ERRORS:
+                self.failures += 1
+                if error.errno in CONNECTION_ERRORS and self.failures < MAX_FAILURES:
                     continue
                 self._pause()
                 return False
-            self.pause_s = MIN_PAUSE_S
+            self.pause_s, self.failures = MIN_PAUSE_S, 0
             connection.setblocking(False)
             self._open(connection)
         return True
@@ -104,6 +107,7 @@
 
     def _pause(self) -> None:
         """Leave new connections in the kernel's queue for a while."""
+        self.failures = 0
         self.loop.remove_reader(self.listener.fileno())
         self.resume_timer = self.loop.call_later(self.pause_s, self._resume)
         self.pause_s = min(MAX_PAUSE_S, 2.0 * self.pause_s)
--- a/heronreel/soak/plan.py
+++ b/heronreel/soak/plan.py
@@ -69,6 +69,7 @@
     clients: tuple[ClientKind, ...]
     faults: tuple[BackendFault, ...]  # one for each backend
     new_connections_s: float  # after SIGTERM clients open new connections for so long
+    quiesce_s: float | None  # before SIGTERM operators quiesce it, where its processes share a socket
 
 
 @dataclass(slots=True, frozen=True)
@@ -79,6 +80,7 @@
     longest_deadline_s: float
     service_s: float  # a backend's usual time for a request
     proxies: tuple[tuple[Shutdown, ...], ...]
+    hands_over: tuple[bool, ...]  # of each proxy: its processes share a listening socket, as in an upgrade
 
     @property
     def kill_after_s(self) -> float:
@@ -93,7 +95,8 @@
     lives = tuple(
         tuple(_draw_shutdown(random, longest_s, backends) for _ in range(shutdowns)) for _ in range(proxies)
     )
-    return Plan(seed, longest_s, random.choice((0.002, 0.01, 0.03)), lives)
+    hands_over = tuple(random.random() < 0.4 for _ in range(proxies))
+    return Plan(seed, longest_s, random.choice((0.002, 0.01, 0.03)), lives, hands_over)
 
 
 def _draw_shutdown(random: Random, longest_s: float, backends: int) -> Shutdown:
@@ -109,6 +112,7 @@
         clients=tuple(random.choice(USUAL_KINDS) for _ in range(clients)),
         faults=tuple(faults),
         new_connections_s=random.uniform(0.2, 0.4),
+        quiesce_s=random.uniform(0.1, 0.5) if random.random() < 0.5 else None,
     )
 
 
--- a/heronreel/soak/proxy_process.py
+++ b/heronreel/soak/proxy_process.py
@@ -26,20 +26,35 @@
 class ProxyLife:
     """A process that serves for a while and is then shut down."""
 
-    def __init__(self, name: str, process: ManagedProcess, port: int) -> None:
+    def __init__(self, name: str, process: ManagedProcess, port: int, admin_port: int = 0) -> None:
         self.name = name
         self.process = process
         self.port = port
+        self.admin_port = admin_port  # 0: it has no admin API
         self.record = LifeRecord(name, now(), 0.0, log=process.lines)
 
     @classmethod
-    async def start(cls, name: str, config: Path) -> ProxyLife:
-        """Start a process and wait until it listens."""
-        port = free_port()
+    async def start(cls, name: str, config: Path, shared: socket.socket | None = None) -> ProxyLife:
+        """Start a process and wait until it listens; `shared` is a listening socket that it inherits."""
+        port = shared.getsockname()[1] if shared else free_port()
         environment = {"LB_NAME": name, "LB_LISTEN": f"127.0.0.1:{port}", "LB_CONFIG": str(config)}
-        process = await ManagedProcess.start(name, ["heronreel.proxy"], environment)
+        admin_port, inherited = 0, []
+        if shared:
+            admin_port, inherited = free_port(), [shared.fileno()]
+            environment |= {
+                "LB_ACCEPT_FD": str(shared.fileno()), "LB_MGMT": f"127.0.0.1:{admin_port}",
+                "TMPDIR": str(config.parent),
+            }  # fmt: skip
+        process = await ManagedProcess.start(name, ["heronreel.proxy"], environment, inherited)
         await process.wait_for_line("listening on")
-        return cls(name, process, port)
+        return cls(name, process, port, admin_port)
+
+    async def call_admin(self, command: str) -> None:
+        """Have operators command it through its admin API."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.admin_port)
+        writer.write(f"POST /admin/{command} HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n".encode())
+        await reader.read()
+        writer.close()
 
     async def shut_down(self, shutdown: Shutdown, kill_after_s: float) -> None:
         """Send SIGTERM and the other signals, and SIGKILL at its earliest; returns once it has ended."""
--- a/heronreel/soak/run.py
+++ b/heronreel/soak/run.py
@@ -4,13 +4,14 @@
 
 import asyncio
 import json
+import socket
 import tempfile
 from itertools import count
 from pathlib import Path
 from random import Random
 from typing import Any
 
-from heronreel.fault_injection.relay import LinkFaults, Relay
+from heronreel.fault_injection.relay import LISTEN_BACKLOG, LinkFaults, Relay
 from heronreel.soak.backend import RecordingBackend
 from heronreel.soak.clients import CLASSES, PAY, READ, THINK_S, THINK_S_PER_CLIENT, Client, ClientWorld
 from heronreel.soak.list_service import ListService, endpoint, whole_list
@@ -78,10 +79,13 @@
         await service.start()
         config = self.folder / f"{name}.json"
         config.write_text(json.dumps(_configuration(self.plan, service, name)))
+        lives = _Lives(name, config, self.plan.hands_over[place])
         try:
-            for shutdown in self.plan.proxies[place]:
-                await self._play_life(name, config, shutdown, backends, relays, random)
+            for number, shutdown in enumerate(self.plan.proxies[place], 1):
+                lives.is_last = number == len(self.plan.proxies[place])
+                await self._play_life(lives, shutdown, backends, relays, random)
         finally:
+            lives.close()
             service.stop()
             for relay, backend in zip(relays, backends, strict=True):
                 await relay.stop()
@@ -89,8 +93,7 @@
 
     async def _play_life(
         self,
-        name: str,
-        config: Path,
+        lives: _Lives,
         shutdown: Shutdown,
         backends: list[RecordingBackend],
         relays: list[Relay],
@@ -98,7 +101,7 @@
     ) -> None:
         for backend, relay in zip(backends, relays, strict=True):
             backend.fault, relay.responses, relay.requests = BackendFault.NONE, LinkFaults(), LinkFaults()
-        life = await ProxyLife.start(name, config)
+        name, life = lives.name, await lives.next()
         self.records.lives.append(life.record)
         faults = None
         try:
@@ -115,6 +118,10 @@
                 for place, kind in enumerate(shutdown.clients)
             ]
             first_s = min([0.0, *(each.at_s for each in shutdown.signals)])
+            if life.admin_port and shutdown.quiesce_s is not None:
+                await asyncio.sleep(terminate_at - shutdown.quiesce_s - now())
+                await life.call_admin("quiesce")
+            await lives.prepare_successor()
             await asyncio.sleep(terminate_at + first_s - now())
             faults = asyncio.create_task(_inject(shutdown, backends, relays, random))
             await life.shut_down(shutdown, self.plan.kill_after_s)
@@ -126,6 +133,44 @@
             await life.stop()
 
 
+class _Lives:
+    """The processes of one proxy, one after the other, or each beside its successor on one socket."""
+
+    def __init__(self, name: str, config: Path, hands_over: bool) -> None:
+        self.name = name
+        self.is_last = False  # the life under way has no successor
+        self.config = config
+        self.shared: socket.socket | None = None
+        if hands_over:
+            self.config = config.parent / name / config.name
+            self.config.parent.mkdir()
+            self.config.write_bytes(config.read_bytes())
+            self.shared = socket.create_server(("127.0.0.1", 0), backlog=LISTEN_BACKLOG)
+        self.successor: ProxyLife | None = None
+
+    async def next(self) -> ProxyLife:
+        """The successor that serves already, or a new process."""
+        life, self.successor = self.successor, None
+        if life is not None:
+            await life.call_admin("resume")
+            return life
+        return await ProxyLife.start(self.name, self.config, self.shared)
+
+    async def prepare_successor(self) -> None:
+        """Start the successor of the life under way, or see that nobody listens behind the last one."""
+        if self.shared is None:
+            return
+        if self.is_last:
+            self.shared.close()
+        else:
+            self.successor = await ProxyLife.start(self.name, self.config, self.shared)
+
+    def close(self) -> None:
+        """Close the shared socket."""
+        if self.shared is not None:
+            self.shared.close()
+
+
 async def _run_client(client: Client, place: int) -> None:
     """Clients come one after the other: that all come at once is not what is tested here."""
     await asyncio.sleep(place * CLIENT_INTERVAL_S)
--- a/tests/proxy/test_accepting.py
+++ b/tests/proxy/test_accepting.py
@@ -3,12 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import os
 import resource
 import signal
+import socket
 import time
 from pathlib import Path
+from typing import Any
 
+import pytest
+import uvloop
+
+from heronreel.proxy.acceptor import Acceptor
 from tests.support.lifecycle import KeptConnection, ended, named, stop, with_short_limit
 from tests.support.loopback import (
     Discovery,
@@ -25,6 +32,7 @@
 FRESH = 20  # connections while none can be accepted
 MAX_BUSY_SHARE = 0.25  # of a core, while accept fails
 FAULT_S = 1.0
+MAX_CALLS_PER_S = 200
 
 
 def limit_descriptors(proxy: ProxyProcess, soft: int) -> None:
@@ -62,6 +70,46 @@
     run(scenario())
 
 
+class FailingListener(socket.socket):
+    """A listening socket whose `accept` fails for as long as `error` is set."""
+
+    error = 0
+    calls = 0
+
+    def accept(self) -> tuple[socket.socket, Any]:
+        self.calls += 1
+        if self.error:
+            raise OSError(self.error, os.strerror(self.error))
+        return super().accept()
+
+
+@pytest.mark.parametrize("name", ["ENFILE", "ENOBUFS", "ENOMEM", "EPROTO", "ECONNABORTED", "ENETUNREACH"])
+def test_while_accept_fails_it_is_tried_at_a_bounded_rate_and_succeeds_afterwards(name: str) -> None:
+    async def scenario() -> None:
+        accepted = asyncio.Event()
+
+        class Accepted(asyncio.Protocol):
+            def connection_made(self, transport: asyncio.BaseTransport) -> None:
+                accepted.set()
+
+        listener = FailingListener()
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        listener.error = getattr(errno, name)
+        acceptor = Acceptor(asyncio.get_running_loop(), listener, Accepted)
+        _, writer = await asyncio.open_connection(*listener.getsockname())
+        began_at = time.monotonic()
+        await asyncio.sleep(FAULT_S)
+        assert listener.calls <= MAX_CALLS_PER_S * (time.monotonic() - began_at)
+        assert not accepted.is_set()
+        listener.error = 0
+        await accepted.wait()
+        acceptor.close()
+        writer.close()
+
+    uvloop.run(asyncio.wait_for(scenario(), 60.0))
+
+
 def test_connections_in_the_backlog_when_the_listener_closes_are_answered(tmp_path: Path) -> None:
     """The process stands still until no more connections are due, and finds these in the kernel's queue."""
 
--- a/tests/proxy/test_shutdown_admission.py
+++ b/tests/proxy/test_shutdown_admission.py
@@ -13,7 +13,7 @@
 
 import pytest
 
-from tests.support.lifecycle import SHORT_LIMIT_MS, ended, with_short_limit
+from tests.support.lifecycle import SHORT_LIMIT_MS, ended, rest_of_log, with_short_limit
 from tests.support.loopback import (
     Backend,
     Discovery,
@@ -102,6 +102,8 @@
                     client.send_at(began_at + FIRST_SEND_S + client.number * step_s) for client in clients
                 ))  # fmt: skip
                 assert await ended(proxy, END_LIMIT_S) == 0
+                # the gate where a request's last byte is read, and not a later one, refuses what is too late
+                assert "the drain ends too soon" in await rest_of_log(proxy)
                 unanswered = {each.ident for row in sent for each in row if each.status == "closed"}
                 assert not unanswered & set(backend.seen)
 
