--- a/tests/proxy/test_dispatcher.py
+++ b/tests/proxy/test_dispatcher.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import signal
+import time
 from pathlib import Path
 from typing import Any
 
@@ -59,6 +60,23 @@
     run(scenario())
 
 
+def test_nothing_is_sent_once_admission_has_ended(tmp_path: Path) -> None:
+    """The request is there already: its retries and attempts whose connection comes up late meet this too."""
+
+    async def scenario() -> None:
+        async with Backend() as backend:
+            config = config_of(tmp_path, entry("b1", backend.address))
+            dispatcher = Dispatcher(asyncio.get_running_loop(), config)
+            now = time.monotonic()
+            dispatcher.end_by(send_until=now, answer_by=now + 60.0)
+            client = WaitingClient()
+            dispatcher.submit(client, RequestHead(b"GET /read/1 HTTP/1.1\r\n", class_name="read"), b"")
+            assert await client.status == 503
+            assert backend.seen == []
+
+    run(scenario())
+
+
 def test_an_idle_connection_is_closed_long_before_its_backend_would(tmp_path: Path) -> None:
     async def scenario() -> None:
         async with Backend() as backend:
