--- a/tests/proxy/test_dispatcher.py
+++ b/tests/proxy/test_dispatcher.py
@@ -23,6 +23,9 @@
 )
 
 
+SENT_HEAD = b"GET /read/1 HTTP/1.1\r\nx-request-id: r1\r\n"
+
+
 def config_of(path: Path, *known: dict[str, Any]) -> Config:
     file = path / "config.json"
     file.write_text(json.dumps(configuration("127.0.0.1:1", *known)))
@@ -70,7 +73,7 @@
             now = time.monotonic()
             dispatcher.end_by(send_until=now, answer_by=now + 60.0)
             client = WaitingClient()
-            dispatcher.submit(client, RequestHead(b"GET /read/1 HTTP/1.1\r\n", class_name="read"), b"")
+            dispatcher.submit(client, RequestHead(SENT_HEAD, class_name="read"), b"")
             assert await client.status == 503
             assert backend.seen == []
 
