Accepts are counted before the next ones; signals in a process's last moments; tests of each end

Simpler: what a long body's backend is told. Tests: the crowd in the backlog, retries in a drain, half requests and silent connections at the end, requests that cross a close.

--- a/heronreel/proxy/__main__.py
+++ b/heronreel/proxy/__main__.py
@@ -18,7 +18,7 @@
 from heronreel.proxy.client_listener import ClientListener
 from heronreel.proxy.config import Config, load
 from heronreel.proxy.dispatcher import Dispatcher
-from heronreel.proxy.drain import drain, note_signal
+from heronreel.proxy.drain import drain, note_signal, until_exit
 from heronreel.proxy.errors import ConfigError
 from heronreel.proxy.logs import ALWAYS, log_to_stderr
 from heronreel.proxy.shared_state import SharedState
@@ -156,7 +156,7 @@
         return EXIT_UNUSABLE
     log_to_stderr(config.name)
     try:
-        uvloop.run(serve(config))
+        uvloop.run(until_exit(serve(config)))
     except OSError as error:
         print(f"heronreel: LB_LISTEN: {error}", file=sys.stderr)
         return EXIT_UNUSABLE
--- a/heronreel/proxy/acceptor.py
+++ b/heronreel/proxy/acceptor.py
@@ -19,7 +19,8 @@
 
 Opening = Coroutine[Any, Any, object]  # of a connection that was accepted
 
-MAX_ACCEPTS = 64  # in one turn of the loop, so that a crowd delays nobody for long
+MAX_ACCEPTS = 4  # in one turn of the loop: they are counted, and others closed for them, in the next one
+MAX_LAST_TURNS = 256  # in which the last connections are accepted
 MIN_PAUSE_S, MAX_PAUSE_S = 0.005, 0.1  # after a failure of `accept`
 MAX_FAILURES = 8  # in a row, of single connections; then it is no matter of theirs
 # accept(2): errors of the new connection, which is gone; the next one may be well
@@ -49,16 +50,17 @@
         listener.setblocking(False)
         loop.add_reader(listener.fileno(), self._accept)
 
-    def close(self) -> None:
+    async def close(self) -> None:
         """Accept what waits in the kernel's queue, then listen no more; closing again does nothing."""
-        if self.listener.fileno() < 0:
-            return
+        for _ in range(MAX_LAST_TURNS):
+            if self.listener.fileno() < 0 or not self._accept_some():
+                break
+            await asyncio.sleep(0)  # they are counted
         if self.resume_timer:
             self.resume_timer.cancel()
-        while self._accept_some():
-            pass
-        self.loop.remove_reader(self.listener.fileno())
-        self.listener.close()
+        if self.listener.fileno() >= 0:
+            self.loop.remove_reader(self.listener.fileno())
+            self.listener.close()
 
     def _accept(self) -> None:
         self._accept_some()
--- a/heronreel/proxy/backend_connection.py
+++ b/heronreel/proxy/backend_connection.py
@@ -196,7 +196,7 @@
         self.received_bytes, self.section_bytes, self.status, self.complete = 0, 0, 0, False
         request, transport = attempt.request, self.transport
         left_ms = (attempt.ends_at - now) * 1000.0
-        if request.upload and not request.upload.complete:  # its time begins with its last byte
+        if request.upload:  # its time begins with its last byte, and `ends_at` is far off until then
             left_ms = min(left_ms, request.upload.timeout_ms)
         timeout_ms = max(1, int(left_ms))
         head = b"%bx-deadline-ms: %d\r\n\r\n" % (request.head, timeout_ms)
--- a/heronreel/proxy/client_listener.py
+++ b/heronreel/proxy/client_listener.py
@@ -94,10 +94,10 @@
         self.acceptors.append(Acceptor(self.loop, listener, lambda: ClientConnection(self)))
         return bound[0], bound[1]
 
-    def stop_listening(self) -> None:
+    async def stop_listening(self) -> None:
         """Accept what waits in the kernel's queue, and nothing that comes later."""
         for acceptor in self.acceptors:
-            acceptor.close()
+            await acceptor.close()
 
     # Counting.
 
--- a/heronreel/proxy/drain.py
+++ b/heronreel/proxy/drain.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from heronreel.proxy.client_listener import ClientListener
 from heronreel.proxy.drain_schedule import DrainSchedule
@@ -20,6 +21,17 @@
         stop.set_result(time.monotonic())
 
 
+async def until_exit(serving: Awaitable[None]) -> None:
+    """Await what serves until a signal ends it; a signal that comes while the interpreter ends does nothing.
+
+    The event loop gives the signals back their default action, which would end the process with an error.
+    """
+    try:
+        await serving
+    finally:
+        signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGTERM, signal.SIGINT, signal.SIGHUP))
+
+
 async def drain(clients: ClientListener, signalled_at: float, has_successor: bool = False) -> None:
     """Shut down after a SIGTERM that came at `signalled_at`, on the monotonic clock in seconds.
 
@@ -43,7 +55,7 @@
         self._begin()
         if not self.has_successor:
             await self._accept_the_last()
-        self.clients.stop_listening()
+        await self.clients.stop_listening()
         self._record("listener closed")
         if self.has_successor:
             await self._until(self.schedule.handover_until, _leave_open)
--- a/heronreel/serve/program.py
+++ b/heronreel/serve/program.py
@@ -17,7 +17,7 @@
 from heronreel.proxy.client_listener import ClientListener
 from heronreel.proxy.config import Config, load
 from heronreel.proxy.dispatcher import Dispatcher
-from heronreel.proxy.drain import drain, note_signal
+from heronreel.proxy.drain import drain, note_signal, until_exit
 from heronreel.proxy.errors import ConfigError
 from heronreel.proxy.logs import ALWAYS, log_to_stderr
 from heronreel.routes.findings import Finding, Report
@@ -226,7 +226,7 @@
             log.info("listening on %s:%d for %s (process %d)", *address, name, os.getpid(), extra=ALWAYS)
 
     try:
-        uvloop.run(run(path, report.file, ready, platform))
+        uvloop.run(until_exit(run(path, report.file, ready, platform)))
     except OSError as error:
         print(f"heronreel: listeners: {error}", file=sys.stderr)
         return 2
--- a/heronreel/soak/proxy_process.py
+++ b/heronreel/soak/proxy_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import signal
 import socket
 from contextlib import suppress
@@ -84,8 +85,10 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
     def _send(self, number: signal.Signals) -> None:
-        with suppress(ProcessLookupError):
-            self.process.process.send_signal(number)
+        if self.process.process.returncode is None:
+            with suppress(ProcessLookupError):
+                # asyncio's `send_signal` may take the exit status for itself
+                os.kill(self.process.process.pid, number)
 
     async def _signal_at(self, begin: float, at_s: float, number: signal.Signals) -> None:
         await _sleep_until(begin + at_s)
--- a/tests/proxy/test_accepting.py
+++ b/tests/proxy/test_accepting.py
@@ -33,6 +33,7 @@
 FRESH = 20  # connections while none can be accepted
 MAX_BUSY_SHARE = 0.25  # of a core, while accept fails
 FAULT_S = 1.0
+SOCKETS = 160
 MAX_CALLS_PER_S = 200
 
 
@@ -105,12 +106,31 @@
         assert not accepted.is_set()
         listener.error = 0
         await accepted.wait()
-        acceptor.close()
+        await acceptor.close()
         writer.close()
 
     uvloop.run(asyncio.wait_for(scenario(), 60.0))
 
 
+def test_a_crowd_in_the_backlog_is_accepted_within_the_descriptor_limit(tmp_path: Path) -> None:
+    """It came while the process stood still, and none of it is silent or idle, so that none makes room."""
+
+    async def scenario() -> None:
+        async with proxy_with_backend(tmp_path, named("b"), sockets=SOCKETS) as proxy:
+            await stop(proxy)
+            crowd = [await proxy.connect() for _ in range(2 * SOCKETS)]
+            for _, writer in crowd:
+                writer.write(b"POST /save/")
+            proxy.signal(signal.SIGCONT)
+            highest, ends_at = 0, time.monotonic() + FAULT_S
+            while time.monotonic() < ends_at:
+                highest = max(highest, proxy.descriptors())
+                await asyncio.sleep(0)
+            assert SOCKETS / 2 < highest <= SOCKETS
+
+    run(scenario())
+
+
 def test_connections_in_the_backlog_when_the_listener_closes_are_answered(tmp_path: Path) -> None:
     """The process stands still until no more connections are due, and finds these in the kernel's queue."""
 
--- a/tests/proxy/test_race_conditions.py
+++ b/tests/proxy/test_race_conditions.py
@@ -18,6 +18,7 @@
 
 import pytest
 
+from tests.support.lifecycle import KeptConnection, answer_held, named, until_seen
 from tests.support.loopback import (
     SETTINGS,
     Backend,
@@ -304,6 +305,45 @@
             writer.transport.abort()
 
 
+def test_a_request_that_crosses_the_end_of_an_idle_connection_is_dropped_and_resets_nothing(
+    tmp_path: Path,
+) -> None:
+    """The proxy has ended its side; what comes then is read, so that no reset follows."""
+
+    async def scenario() -> None:
+        backend = Backend()
+        async with proxy_with_backend(tmp_path, backend, True) as proxy:
+            kept = KeptConnection(proxy)
+            await kept.open("k1")
+            assert await proxy.call("/admin/quiesce") == "200"
+            await proxy.log_line("connection closed")
+            await kept.send("k2")
+            await proxy.log_line("input dropped")
+            assert await kept.reader.read() == b""
+            assert backend.seen == ["k1"]
+
+    run(scenario())
+
+
+def test_what_follows_a_last_request_is_read_and_dropped_behind_its_response(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        backend = named("b")
+        async with proxy_with_backend(tmp_path, backend) as proxy:
+            reader, writer = await proxy.connect()
+            writer.write(request("h1", extra="Connection: close\r\n"))
+            await until_seen(backend, "h1")
+            writer.write(request("r2"))
+            await writer.drain()
+            await asyncio.sleep(0.05)  # read as far as it is read, which is not needed
+            writer.write(request("r3"))
+            answer_held(backend, "h1")
+            assert await read_response(reader) == ("200", b"held")
+            await proxy.log_line("input dropped")
+            assert backend.seen == ["h1"]
+
+    run(scenario())
+
+
 def test_idle_clients_that_fill_the_descriptors_prevent_no_call_to_discovery(
     tmp_path: Path,
 ) -> None:
--- a/tests/proxy/test_shutdown_admission.py
+++ b/tests/proxy/test_shutdown_admission.py
@@ -81,6 +81,42 @@
         )
 
 
+def test_a_client_that_stops_in_the_middle_of_a_request_gets_its_rejection_before_the_end(
+    tmp_path: Path,
+) -> None:
+    async def scenario() -> None:
+        async with Backend() as backend, Discovery(entry("b1", backend.address)) as discovery:
+            config = with_short_limit(configuration(discovery.address, *discovery.entries))
+            async with running_proxy(tmp_path, config) as proxy:
+                clients = [LateClient(0, "head"), LateClient(0, "body")]
+                for client in clients:
+                    await client.open(proxy)
+                proxy.signal(signal.SIGTERM)
+                assert [(await read_response(client.reader))[0] for client in clients] == ["503", "503"]
+                assert await ended(proxy, END_LIMIT_S) == 0
+                assert backend.seen == []
+
+    run(scenario())
+
+
+def test_a_silent_connection_ends_with_our_side_first(tmp_path: Path) -> None:
+    """So that its client learns of the end before the process is gone, and what it sends is still read."""
+
+    async def scenario() -> None:
+        async with Backend() as backend, Discovery(entry("b1", backend.address)) as discovery:
+            config = with_short_limit(configuration(discovery.address, *discovery.entries))
+            async with running_proxy(tmp_path, config) as proxy:
+                reader, writer = await proxy.connect()
+                proxy.signal(signal.SIGTERM)
+                assert await reader.read() == b""
+                writer.close()
+                log = await rest_of_log(proxy)
+                assert log.index("reason=draining") < log.index("drain ended")
+                assert await ended(proxy, END_LIMIT_S) == 0
+
+    run(scenario())
+
+
 @pytest.mark.parametrize("kind", KINDS)
 def test_a_request_that_is_completed_while_a_shutdown_ends_is_answered_or_not_forwarded(
     tmp_path: Path, kind: str
--- a/tests/proxy/test_shutdown_crossings.py
+++ b/tests/proxy/test_shutdown_crossings.py
@@ -7,7 +7,9 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import signal
+from contextlib import suppress
 from pathlib import Path
 
 import pytest
@@ -92,6 +94,23 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGHUP, signal.SIGINT])
+def test_signals_in_a_process_s_last_moments_do_not_change_its_exit_status(
+    tmp_path: Path, number: signal.Signals
+) -> None:
+    async def scenario() -> None:
+        async with proxy_with_backend(tmp_path, Backend()) as proxy:
+            proxy.signal(signal.SIGTERM)
+            await proxy.log_line("drain ended")
+            with suppress(ProcessLookupError):
+                while proxy.process.returncode is None:
+                    os.kill(proxy.process.pid, number)  # `send_signal` may take the exit status for itself
+                    await asyncio.sleep(0.0005)
+            assert await proxy.process.wait() == 0
+
+    run(scenario())
+
+
 def test_the_end_of_a_drain_starts_no_further_attempt(tmp_path: Path) -> None:
     """Two backends drop each other's repeats; the one that has the request says nothing."""
 
--- a/tests/proxy/test_told_deadlines.py
+++ b/tests/proxy/test_told_deadlines.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import signal
 import time
 from pathlib import Path
@@ -70,6 +71,34 @@
     run(scenario())
 
 
+def test_a_retry_in_a_shutdown_tells_no_more_than_what_is_left_of_it(tmp_path: Path) -> None:
+    """The request was taken before, and its client would wait beyond the process's end."""
+
+    async def scenario() -> None:
+        backends = [AttemptLog(after(0.5, FULL)) for _ in range(2)]
+        async with backends[0], backends[1]:
+            known = [entry(f"b{number}", backend.address) for number, backend in enumerate(backends)]
+            async with Discovery(*known) as discovery:
+                config = configuration(discovery.address, *known)
+                async with running_proxy(tmp_path, config) as proxy:
+                    reader, writer = await proxy.connect()
+                    writer.write(with_deadline("a1", 6000))
+                    while not any(backend.began for backend in backends):
+                        await asyncio.sleep(0.001)
+                    proxy.signal(signal.SIGTERM)
+                    signalled_at = time.monotonic()
+                    await read_response(reader)
+                    *_, (began_at, head) = sorted(
+                        (attempt for backend in backends for attempt in backend.began),
+                        key=lambda attempt: attempt[0],
+                    )
+                    assert sum(len(backend.began) for backend in backends) >= 2
+                    killed_at = signalled_at + LONGEST_COUNTED_S + KILL_MARGIN_S
+                    assert int(head["x-deadline-ms"]) / 1000.0 < killed_at - began_at
+
+    run(scenario())
+
+
 def test_what_was_taken_before_a_shutdown_is_answered_before_its_end(tmp_path: Path) -> None:
     """A long body's time begins with its last byte, and would last beyond the process's end."""
 
