--- a/heronreel/proxy/acceptor.py
+++ b/heronreel/proxy/acceptor.py
@@ -31,7 +31,7 @@
 
 
 class Acceptor:
-    """Accepts the connections of one listening socket, until it is closed."""
+    """Accepts the connections of one listening socket, until `close`, which is called once."""
 
     def __init__(
         self,
@@ -50,17 +50,19 @@
         listener.setblocking(False)
         loop.add_reader(listener.fileno(), self._accept)
 
-    async def close(self) -> None:
-        """Accept what waits in the kernel's queue, then listen no more; closing again does nothing."""
+    async def accept_the_last(self) -> None:
+        """Accept what waits in the kernel's queue: closing its only socket would reset that."""
         for _ in range(MAX_LAST_TURNS):
-            if self.listener.fileno() < 0 or not self._accept_some():
+            if not self._accept_some():
                 break
             await asyncio.sleep(0)  # they are counted
+
+    def close(self) -> None:
+        """Listen no more."""
         if self.resume_timer:
             self.resume_timer.cancel()
-        if self.listener.fileno() >= 0:
-            self.loop.remove_reader(self.listener.fileno())
-            self.listener.close()
+        self.loop.remove_reader(self.listener.fileno())
+        self.listener.close()
 
     def _accept(self) -> None:
         self._accept_some()
@@ -110,6 +112,8 @@
     def _pause(self) -> None:
         """Leave new connections in the kernel's queue for a while."""
         self.failures = 0
+        if self.resume_timer:
+            self.resume_timer.cancel()
         self.loop.remove_reader(self.listener.fileno())
         self.resume_timer = self.loop.call_later(self.pause_s, self._resume)
         self.pause_s = min(MAX_PAUSE_S, 2.0 * self.pause_s)
--- a/heronreel/proxy/client_listener.py
+++ b/heronreel/proxy/client_listener.py
@@ -94,10 +94,13 @@
         self.acceptors.append(Acceptor(self.loop, listener, lambda: ClientConnection(self)))
         return bound[0], bound[1]
 
-    async def stop_listening(self) -> None:
-        """Accept what waits in the kernel's queue, and nothing that comes later."""
+    async def stop_listening(self, has_successor: bool) -> None:
+        """Accept nothing that comes later; what waits in the kernel's queue is a successor's, or ours."""
         for acceptor in self.acceptors:
-            await acceptor.close()
+            if not has_successor:
+                await acceptor.accept_the_last()
+            acceptor.close()
+        self.acceptors.clear()
 
     # Counting.
 
--- a/tests/proxy/test_accepting.py
+++ b/tests/proxy/test_accepting.py
@@ -16,6 +16,9 @@
 import uvloop
 
 from heronreel.proxy.acceptor import Acceptor
+from heronreel.proxy.client_listener import ClientListener
+from heronreel.proxy.dispatcher import Dispatcher
+from tests.proxy.test_dispatcher import config_of
 from tests.support.lifecycle import KeptConnection, ended, named, stop, with_short_limit
 from tests.support.loopback import (
     Discovery,
@@ -106,12 +109,26 @@
         assert not accepted.is_set()
         listener.error = 0
         await accepted.wait()
-        await acceptor.close()
+        acceptor.close()
         writer.close()
 
     uvloop.run(asyncio.wait_for(scenario(), 60.0))
 
 
+def test_what_waits_for_a_successor_on_a_shared_socket_is_left_to_it(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        loop, config = asyncio.get_running_loop(), config_of(tmp_path)
+        clients = ClientListener(loop, config, Dispatcher(loop, config))
+        with socket.create_server(("127.0.0.1", 0)) as shared:
+            clients.listen(shared.getsockname(), inherited=shared.dup().detach())
+            with socket.create_connection(shared.getsockname()):
+                await clients.stop_listening(has_successor=True)
+                shared.setblocking(False)
+                shared.accept()[0].close()
+
+    uvloop.run(scenario())
+
+
 def test_a_crowd_in_the_backlog_is_accepted_within_the_descriptor_limit(tmp_path: Path) -> None:
     """It came while the process stood still, and none of it is silent or idle, so that none makes room."""
 
