--- a/heronreel/proxy/acceptor.py
+++ b/heronreel/proxy/acceptor.py
@@ -12,7 +12,6 @@
 import errno
 import socket
 from collections.abc import Callable, Coroutine
-from contextlib import suppress
 from typing import Any
 
 from heronreel.proxy.event_log import EventKind, record
@@ -106,8 +105,12 @@
 
     def _opened(self, opening: Opening) -> None:
         self.opening.discard(opening)
-        with suppress(StopIteration):
+        try:
             opening.send(None)
+        except StopIteration:
+            return
+        except OSError as error:
+            record(EventKind.ACCEPT_FAILED, error=str(error))
 
     def _pause(self) -> None:
         """Leave new connections in the kernel's queue for a while."""
