--- a/heronreel/proxy/acceptor.py
+++ b/heronreel/proxy/acceptor.py
@@ -11,7 +11,9 @@
 import asyncio
 import errno
 import socket
+import time
 from collections.abc import Callable, Coroutine
+from enum import Enum
 from typing import Any
 
 from heronreel.proxy.event_log import EventKind, record
@@ -19,8 +21,8 @@
 Opening = Coroutine[Any, Any, object]  # of a connection that was accepted
 
 MAX_ACCEPTS = 4  # in one turn of the loop: they are counted, and others closed for them, in the next one
-MAX_LAST_TURNS = 256  # in which the last connections are accepted
 MIN_PAUSE_S, MAX_PAUSE_S = 0.005, 0.1  # after a failure of `accept`
+MAX_LAST_TURNS = 256  # in which the last connections are accepted, however many come
 MAX_FAILURES = 8  # in a row, of single connections; then it is no matter of theirs
 # accept(2): errors of the new connection, which is gone; the next one may be well
 CONNECTION_ERRORS = frozenset((
@@ -29,6 +31,14 @@
 ))  # fmt: skip
 
 
+class AcceptResult(Enum):
+    """What a turn of accepting leaves."""
+
+    MORE = "more connections may wait"
+    EMPTY = "none waits"
+    FAILED = "accept failed"
+
+
 class Acceptor:
     """Accepts the connections of one listening socket, until `close`, which is called once."""
 
@@ -49,12 +59,19 @@
         listener.setblocking(False)
         loop.add_reader(listener.fileno(), self._accept)
 
-    async def accept_the_last(self) -> None:
-        """Accept what waits in the kernel's queue: closing its only socket would reset that."""
+    async def accept_the_last(self, until: float) -> None:
+        """Accept what waits in the kernel's queue: closing its only socket would reset that.
+
+        Args:
+            until: When to give up where `accept` fails, on the monotonic clock in seconds.
+        """
         for _ in range(MAX_LAST_TURNS):
-            if not self._accept_some():
+            result = self._accept_some()
+            if result is AcceptResult.EMPTY:
+                break
+            if result is AcceptResult.FAILED and time.monotonic() >= until:
                 break
-            await asyncio.sleep(0)  # they are counted
+            await asyncio.sleep(self.pause_s if result is AcceptResult.FAILED else 0.0)  # they are counted
 
     def close(self) -> None:
         """Listen no more."""
@@ -66,24 +83,24 @@
     def _accept(self) -> None:
         self._accept_some()
 
-    def _accept_some(self) -> bool:
-        """Accept up to `MAX_ACCEPTS` connections; whether more may wait."""
+    def _accept_some(self) -> AcceptResult:
+        """Accept up to `MAX_ACCEPTS` connections."""
         for _ in range(MAX_ACCEPTS):
             try:
                 connection, _ = self.listener.accept()
             except BlockingIOError:
-                return False
+                return AcceptResult.EMPTY
             except OSError as error:
                 record(EventKind.ACCEPT_FAILED, error=errno.errorcode.get(error.errno or 0, str(error)))
                 self.failures += 1
                 if error.errno in CONNECTION_ERRORS and self.failures < MAX_FAILURES:
                     continue
                 self._pause()
-                return False
+                return AcceptResult.FAILED
             self.pause_s, self.failures = MIN_PAUSE_S, 0
             connection.setblocking(False)
             self._open(connection)
-        return True
+        return AcceptResult.MORE
 
     def _open(self, connection: socket.socket) -> None:
         """Make the connection the event loop's.
--- a/heronreel/proxy/admin_api.py
+++ b/heronreel/proxy/admin_api.py
@@ -152,9 +152,9 @@
 
     async def close(self) -> None:
         """Accept no more calls, and answer for a moment those that have come."""
-        await self.acceptor.accept_the_last()
-        self.acceptor.close()
         closes_at = time.monotonic() + LAST_CALLS_S
+        await self.acceptor.accept_the_last(closes_at)
+        self.acceptor.close()
         await asyncio.sleep(0)  # what was accepted just now is counted
         while self.connections and time.monotonic() < closes_at:
             await asyncio.sleep(LAST_CALLS_POLL_S)
--- a/heronreel/proxy/client_listener.py
+++ b/heronreel/proxy/client_listener.py
@@ -94,11 +94,16 @@
         self.acceptors.append(Acceptor(self.loop, listener, lambda: ClientConnection(self)))
         return bound[0], bound[1]
 
-    async def stop_listening(self, has_successor: bool) -> None:
-        """Accept nothing that comes later; what waits in the kernel's queue is a successor's, or ours."""
+    async def stop_listening(self, has_successor: bool, until: float) -> None:
+        """Accept nothing that comes later; what waits in the kernel's queue is a successor's, or ours.
+
+        Args:
+            has_successor: Another process accepts on the same socket.
+            until: When to give up accepting what waits, on the monotonic clock.
+        """
         for acceptor in self.acceptors:
             if not has_successor:
-                await acceptor.accept_the_last()
+                await acceptor.accept_the_last(until)
             acceptor.close()
         self.acceptors.clear()
 
--- a/heronreel/proxy/drain.py
+++ b/heronreel/proxy/drain.py
@@ -55,7 +55,7 @@
         self._begin()
         if not self.has_successor:
             await self._accept_the_last()
-        await self.clients.stop_listening(self.has_successor)
+        await self.clients.stop_listening(self.has_successor, self.schedule.answer_by)
         self._record("listener closed")
         if self.has_successor:
             await self._until(self.schedule.handover_until, _leave_open)
--- a/tests/proxy/test_accepting.py
+++ b/tests/proxy/test_accepting.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import errno
+import math
 import os
 import resource
 import signal
@@ -107,9 +108,13 @@
         await asyncio.sleep(FAULT_S)
         assert listener.calls <= MAX_CALLS_PER_S * (time.monotonic() - began_at)
         assert not accepted.is_set()
+        # the listener is about to close: what waits is still accepted once the fault is over
+        last = asyncio.create_task(acceptor.accept_the_last(until=math.inf))
+        await asyncio.sleep(0)
         listener.error = 0
-        await accepted.wait()
+        await last
         acceptor.close()
+        await accepted.wait()
         writer.close()
 
     uvloop.run(asyncio.wait_for(scenario(), 60.0))
@@ -122,7 +127,7 @@
         with socket.create_server(("127.0.0.1", 0)) as shared:
             clients.listen(shared.getsockname(), inherited=shared.dup().detach())
             with socket.create_connection(shared.getsockname()):
-                await clients.stop_listening(has_successor=True)
+                await clients.stop_listening(has_successor=True, until=math.inf)
                 shared.setblocking(False)
                 shared.accept()[0].close()
 
