After a hold-up a drain reads what came meanwhile before it gives it up

One sleep of no length may end before the loop has polled its sockets; connections that were accepted last are counted before the drain asks whether any is open.

--- a/heronreel/proxy/acceptor.py
+++ b/heronreel/proxy/acceptor.py
@@ -72,6 +72,8 @@
             if result is AcceptResult.FAILED and time.monotonic() >= until:
                 break
             await asyncio.sleep(self.pause_s if result is AcceptResult.FAILED else 0.0)  # they are counted
+        while self.opening:
+            await asyncio.sleep(0)
 
     def close(self) -> None:
         """Listen no more."""
--- a/heronreel/proxy/drain.py
+++ b/heronreel/proxy/drain.py
@@ -12,6 +12,7 @@
 from heronreel.proxy.event_log import CloseReason, printable_ids, record_state
 
 POLL_INTERVAL_S = 0.02
+READ_S = 0.002  # a turn of the event loop in which it reads
 MIN_LINGER_S = 0.05  # after the last responses, however late they were
 
 
@@ -62,10 +63,11 @@
         await self._until(self.schedule.admit_until, self._close_idle)
         self._record("admission ended")
         await self._until(self.schedule.answer_by, self._reject_incomplete)
-        await asyncio.sleep(0)  # after a hold-up, what came meanwhile is read before it is given up
+        await asyncio.sleep(READ_S)  # after a hold-up, what came meanwhile is read before it is given up
         self._answer_the_rest()
         answered_at = time.monotonic()
         await self._until(max(self.schedule.end_by, answered_at + MIN_LINGER_S), self._close_the_rest)
+        await asyncio.sleep(READ_S)
         self._abort_the_rest()
         self._record("drain ended")
 
--- a/tests/proxy/test_accepting.py
+++ b/tests/proxy/test_accepting.py
@@ -153,7 +153,8 @@
     run(scenario())
 
 
-def test_connections_in_the_backlog_when_the_listener_closes_are_answered(tmp_path: Path) -> None:
+@pytest.mark.parametrize("count", [1, FRESH])
+def test_connections_in_the_backlog_when_the_listener_closes_are_answered(tmp_path: Path, count: int) -> None:
     """The process stands still until no more connections are due, and finds these in the kernel's queue."""
 
     async def scenario() -> None:
@@ -165,13 +166,13 @@
                 proxy.signal(signal.SIGTERM)
                 await proxy.log_line("drain started")
                 await stop(proxy)
-                opened = [await proxy.connect() for _ in range(FRESH)]
+                opened = [await proxy.connect() for _ in range(count)]
                 for number, (_, writer) in enumerate(opened):
                     writer.write(request(f"w{number}"))
                 await asyncio.sleep(1.0)  # its listener's last moment has passed when it goes on
                 proxy.signal(signal.SIGCONT)
                 statuses = [(await read_response(reader))[0] for reader, _ in opened]
-                assert statuses == ["503"] * FRESH
+                assert statuses == ["503"] * count
                 assert backend.seen == []
                 assert await ended(proxy, 10.0) == 0
 
