--- a/tests/proxy/test_accepting.py
+++ b/tests/proxy/test_accepting.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import errno
+import math
 import os
 import resource
 import signal
@@ -16,6 +17,9 @@
 import uvloop
 
 from heronreel.proxy.acceptor import Acceptor
+from heronreel.proxy.client_listener import ClientListener
+from heronreel.proxy.dispatcher import Dispatcher
+from tests.proxy.test_dispatcher import config_of
 from tests.support.lifecycle import KeptConnection, ended, named, stop, with_short_limit
 from tests.support.loopback import (
     Discovery,
@@ -104,14 +108,32 @@
         await asyncio.sleep(FAULT_S)
         assert listener.calls <= MAX_CALLS_PER_S * (time.monotonic() - began_at)
         assert not accepted.is_set()
+        # the listener is about to close: what waits is still accepted once the fault is over
+        last = asyncio.create_task(acceptor.accept_the_last(until=math.inf))
+        await asyncio.sleep(0)
         listener.error = 0
+        await last
+        acceptor.close()
         await accepted.wait()
-        await acceptor.close()
         writer.close()
 
     uvloop.run(asyncio.wait_for(scenario(), 60.0))
 
 
+def test_what_waits_for_a_successor_on_a_shared_socket_is_left_to_it(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        loop, config = asyncio.get_running_loop(), config_of(tmp_path)
+        clients = ClientListener(loop, config, Dispatcher(loop, config))
+        with socket.create_server(("127.0.0.1", 0)) as shared:
+            clients.listen(shared.getsockname(), inherited=shared.dup().detach())
+            with socket.create_connection(shared.getsockname()):
+                await clients.stop_listening(has_successor=True, until=math.inf)
+                shared.setblocking(False)
+                shared.accept()[0].close()
+
+    uvloop.run(scenario())
+
+
 def test_a_crowd_in_the_backlog_is_accepted_within_the_descriptor_limit(tmp_path: Path) -> None:
     """It came while the process stood still, and none of it is silent or idle, so that none makes room."""
 
@@ -131,7 +153,8 @@
     run(scenario())
 
 
-def test_connections_in_the_backlog_when_the_listener_closes_are_answered(tmp_path: Path) -> None:
+@pytest.mark.parametrize("count", [1, FRESH])
+def test_connections_in_the_backlog_when_the_listener_closes_are_answered(tmp_path: Path, count: int) -> None:
     """The process stands still until no more connections are due, and finds these in the kernel's queue."""
 
     async def scenario() -> None:
@@ -143,13 +166,13 @@
                 proxy.signal(signal.SIGTERM)
                 await proxy.log_line("drain started")
                 await stop(proxy)
-                opened = [await proxy.connect() for _ in range(FRESH)]
+                opened = [await proxy.connect() for _ in range(count)]
                 for number, (_, writer) in enumerate(opened):
                     writer.write(request(f"w{number}"))
                 await asyncio.sleep(1.0)  # its listener's last moment has passed when it goes on
                 proxy.signal(signal.SIGCONT)
                 statuses = [(await read_response(reader))[0] for reader, _ in opened]
-                assert statuses == ["503"] * FRESH
+                assert statuses == ["503"] * count
                 assert backend.seen == []
                 assert await ended(proxy, 10.0) == 0
 
