--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""Long request bodies go to backends that take some seconds to read them.
+"""Request bodies are long, and backends take a second or more to read the longest.
 
 Each client sends a long request and, once it has its answer, a short one on the same connection; then again.
 """
@@ -14,12 +14,15 @@
 from harness.proxy import Proxy, keyed_class
 
 BACKENDS = 3
+# Little more than what the proxy holds of a body that it has not begun to send on.
+MIDDLE_BODIES = range(530_000, 690_000, 10_000)
 # Just under a multiple of 256,000 bytes, the most that the event loop reads at once.
-LONG_BODIES = [length for length in range(4_095_000, 6_100_000, 256_000) for _ in range(5)]
+LONG_BODIES = [length for length in range(4_095_000, 6_100_000, 256_000) for _ in range(3)]
 PAIRS = 3  # a long and a short request, on each connection
 SHORT_BODY = 50
 UNTROUBLED_BODY = 60_000  # without the disruption, all bodies are of the usual size
-READ_INTERVAL_S = 0.01  # between two pieces that a backend reads of a long body
+SLOWLY_READ_BODY = 1_000_000  # backends read bodies over this length slowly, and others at once
+READ_INTERVAL_S = 0.01  # between two pieces that a backend reads slowly
 SERVICE_S = 0.03
 READ_BYTES = 65536
 DEADLINE_S = 2.5
@@ -29,7 +32,7 @@
 
 
 async def start_backend(case: Case, name: str) -> Endpoint:
-    """Start a backend that reads long bodies slowly."""
+    """Start a backend that reads the longest bodies slowly."""
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
@@ -48,7 +51,7 @@
 
 
 async def read_body(reader: asyncio.StreamReader, length: int) -> None:
-    """Read a body to its last byte; a long one takes some seconds.
+    """Read a body to its last byte; the longest take a second or more.
 
     Raises:
         asyncio.IncompleteReadError: The connection ended before.
@@ -59,7 +62,7 @@
         if not data:
             raise asyncio.IncompleteReadError(b"", left)
         left -= len(data)
-        if length > UNTROUBLED_BODY:
+        if length > SLOWLY_READ_BODY:
             await asyncio.sleep(READ_INTERVAL_S)
 
 
@@ -110,7 +113,7 @@
     """Send pairs of requests through a proxy, on several connections at once."""
     endpoints = [await start_backend(case, f"s-{number}") for number in range(BACKENDS)]
     proxy = await case.start_proxy(endpoints, [keyed_class(deadline_ms=DEADLINE_S * 1000)])
-    lengths = [length if case.trouble else UNTROUBLED_BODY for length in LONG_BODIES]
+    lengths = [length if case.trouble else UNTROUBLED_BODY for length in (*MIDDLE_BODIES, *LONG_BODIES)]
     results = await asyncio.gather(*[ask_in_pairs(case, proxy, length) for length in lengths])
     await case.check_alive(proxy)
     breaks = [text for text in results if text]
