Review: the scripts' status holds with a closed output; the proxy keeps its own search path

Need: piped into a reader that ends early, a script exited with 1 though the rule held.

Cause: the final print raised BrokenPipeError, and an uncaught exception is status 1.

Change: the record is written first and holds the counts; output that nobody reads is ignored; a record that can't be written is status 2. The proxy no longer inherits the PYTHONPATH that run.sh sets.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -117,7 +117,9 @@
     results = await asyncio.gather(*[ask_in_pairs(case, proxy, length) for length in lengths])
     await case.check_alive(proxy)
     breaks = [text for text in results if text]
-    print(f"connections: {len(lengths)}; with a short request without an answer in time: {len(breaks)}")
+    case.record.add(
+        f"connections: {len(lengths)}; with a short request without an answer in time: {len(breaks)}"
+    )
     return breaks
 
 
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -160,7 +160,7 @@
     await asyncio.gather(*[client.run(until) for client in clients])
     await case.check_alive(proxy)
     breaks = [text for client in clients for text in client.breaks]
-    print(f"answers by status: {dict(counts)}; wrong answers: {len(breaks)}")
+    case.record.add(f"answers by status: {dict(counts)}; wrong answers: {len(breaks)}")
     return breaks
 
 
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -108,7 +108,7 @@
     results = await asyncio.gather(*[ask(case, proxy) for _ in range(CLIENTS)])
     await case.check_alive(proxy)
     breaks = [text for text in results if text]
-    print(f"long answers: {CLIENTS}; cut off: {len(breaks)}")
+    case.record.add(f"long answers: {CLIENTS}; cut off: {len(breaks)}")
     return breaks
 
 
--- a/review/harness/case.py
+++ b/review/harness/case.py
@@ -11,6 +11,7 @@
 import sys
 import tempfile
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from pathlib import Path
 from typing import NoReturn
 
@@ -20,6 +21,7 @@
 
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 TIME_LIMIT_S = 100.0
+MAX_PRINTED = 6  # lines of what broke the rule; the record has all
 # After the start, until the proxy has its list from discovery; it asks within 1.25 s.
 LIST_DELAY_S = 1.5
 
@@ -78,14 +80,18 @@
         status = BROKEN if breaks else HELD
     except BaseException as error:
         record.add(f"the case could not run: {type(error).__name__}: {error}")
-        print(f"could not run: {type(error).__name__}: {error}", file=sys.stderr)
+        message = f"could not run: {type(error).__name__}: {error}"
     else:
         for text in breaks:
             record.add(f"broken: {text}")
-        print("\n".join(breaks[:5]) or "the rule held")
+        message = "\n".join(breaks[:MAX_PRINTED]) or "the rule held"
     record.add(f"status {status}")
-    record.write()
-    sys.stdout.flush()
+    try:
+        record.write()
+    except OSError as error:
+        status, message = COULD_NOT_RUN, f"could not write the record: {error}"
+    with suppress(OSError):  # The status counts, also if nobody reads the output.
+        print(message, flush=True)
     os._exit(status)
 
 
--- a/review/harness/proxy.py
+++ b/review/harness/proxy.py
@@ -91,7 +91,9 @@
         temporary.mkdir(exist_ok=True)
         config.write_text(json.dumps(self._document(discovery, proxy_settings)))
         command = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
-        environment = os.environ | {
+        # The script's own search path is not the proxy's.
+        inherited = {name: value for name, value in os.environ.items() if name != "PYTHONPATH"}
+        environment = inherited | {
             "LB_NAME": self.name,
             "LB_LISTEN": f"127.0.0.1:{self.port}",
             "LB_DISCOVERY": f"127.0.0.1:{discovery.port}",
