A second response that crosses the next request is no longer taken for its response

Cause: ConnectionPool._take_idle let a connection carry the next request 5 ms after a response. A second response that comes later than that is taken for the response to the next request, as HTTP/1.1 has no number on it. The distance only decides whether the backend still sees nothing of the next request; the second response comes as late after the first at the proxy as it was sent, so a rest longer than that helps at every distance.

Idle connections are kept in the order of their last response, so that the search for a rested one is by bisection.

--- a/heronreel/proxy/backend_connection.py
+++ b/heronreel/proxy/backend_connection.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import math
+import time
 from dataclasses import dataclass, field
 from typing import Protocol, cast
 
@@ -24,6 +25,7 @@
     Headers,
     end_to_end_lines,
 )
+from heronreel.proxy.reuse_delay import ReuseDelay
 from heronreel.proxy.streams import (
     MAX_BODY_BYTES,
     MAX_BUFFERED_RESPONSE_BYTES,
@@ -129,7 +131,8 @@
             clock in seconds.
         cordoned: Whether an operator has cordoned the backend.
         in_flight: The number of attempts that have not ended.
-        idle: The idle connections, the most recently used last.
+        idle: The idle connections, by the end of their last response.
+        reuse_delay: How long a connection rests after a response before it carries the next request.
     """
 
     number: int
@@ -142,6 +145,7 @@
     cordoned: bool = False
     in_flight: int = 0
     idle: list[BackendConnection] = field(default_factory=list)
+    reuse_delay: ReuseDelay = field(default_factory=ReuseDelay)
 
 
 @dataclass(slots=True, eq=False)
@@ -182,8 +186,8 @@
     __slots__ = (
         "abandoned", "address", "attempt", "backend", "body_parts", "complete", "declared_length",
         "ends_with_connection", "has_unsent_bytes", "headers", "idle_since", "keep_alive", "parser", "pool",
-        "reading_paused", "received_bytes", "reserved_bytes", "section_bytes", "silence_timer", "sink",
-        "status", "transport",
+        "reading_paused", "received_bytes", "reserved_bytes", "responded_at", "section_bytes",
+        "silence_timer", "sink", "status", "transport",
     )  # fmt: skip
 
     def __init__(self, pool: ConnectionOwner, backend: Backend) -> None:
@@ -210,6 +214,7 @@
         self.ends_with_connection = False  # The response ends when the backend closes the connection.
         self.keep_alive = False
         self.idle_since = 0.0
+        self.responded_at = -math.inf  # When the last response ended, on the monotonic clock in seconds.
         self.silence_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -300,7 +305,10 @@
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, then finish, fail, stream or keep waiting for the response."""
         if self.attempt is None:
-            self.transport.abort()  # No request is in flight, so the bytes belong to no response.
+            # No request is in flight, so the bytes belong to no response.
+            now = time.monotonic()
+            self.backend.reuse_delay.note_unexpected_bytes(now - self.responded_at, now)
+            self.transport.abort()
             return
         self.received_bytes += len(data)
         is_malformed = False
@@ -446,6 +454,7 @@
         streamed, header_lines = self.sink is not None, self._header_lines()
         self._clear()
         if reusable and not self.has_unsent_bytes and status != 101 and not self.ends_with_connection:
+            self.responded_at = time.monotonic()
             self.pool.release(self)
         else:
             self.transport.abort()
--- a/heronreel/proxy/connection_pool.py
+++ b/heronreel/proxy/connection_pool.py
@@ -11,6 +11,8 @@
 import logging
 import math
 import time
+from bisect import bisect_right, insort
+from operator import attrgetter
 
 from heronreel.balancer.interface import Outcome
 from heronreel.proxy.backend_connection import (
@@ -37,9 +39,8 @@
 # The limit grows with the configured price of a handshake: seconds per point of a handshake for every
 # request.
 IDLE_S_PER_HANDSHAKE_COST = 12.5
-# A connection is not reused for this long after a response, so that unexpected bytes that follow the response
-# are noticed before the next request is sent.
-MIN_REUSE_DELAY_S = 0.005
+
+_responded_at = attrgetter("responded_at")
 
 log = logging.getLogger(__name__)
 
@@ -123,12 +124,12 @@
         Bytes after the end of a response, or an end of the connection that was not read yet, would otherwise
         be taken for the response to the next request.  The check covers a duplicate response, invalid bytes
         and a backend that closed an idle connection early.  It costs system calls, and an additional
-        connection if responses follow each other faster than MIN_REUSE_DELAY_S on few connections.
+        connection if responses follow each other faster than the backend's reuse delay on few connections.
         """
-        for index in range(len(backend.idle) - 1, -1, -1):
+        rested_since = now - backend.reuse_delay.at(now)
+        rested_count = bisect_right(backend.idle, rested_since, key=_responded_at)
+        for index in range(rested_count - 1, -1, -1):
             connection = backend.idle[index]
-            if now - connection.idle_since < MIN_REUSE_DELAY_S:
-                continue
             if now - connection.idle_since < self.max_idle_s and not has_unread_input(connection.transport):
                 del backend.idle[index], self.idle[connection]
                 return connection
@@ -245,7 +246,7 @@
             connection.transport.abort()
             return
         connection.idle_since = time.monotonic()
-        backend.idle.append(connection)
+        insort(backend.idle, connection, key=_responded_at)
         self.idle[connection] = None
 
     def close(self, connection: BackendConnection) -> None:
