Race tests leave their idle connections to rest for the reuse delay

open_idle_connections waits until connections may carry the next request; with the delay at 50 ms its 20 ms left them resting, so that the tests used new ones. It now waits for one and a half times the delay's constant. The assertions are unchanged.

--- a/tests/proxy/test_race_conditions.py
+++ b/tests/proxy/test_race_conditions.py
@@ -18,6 +18,7 @@
 
 import pytest
 
+from heronreel.proxy.reuse_delay import MIN_REUSE_DELAY_S
 from heronreel.soak.list_service import ListService, endpoint
 from tests.support.lifecycle import KeptConnection, answer_held, named, until_seen
 from tests.support.loopback import (
@@ -68,7 +69,7 @@
         carrier.write(ok(b"done"))
     await asyncio.gather(*pending)
     backend.seen.clear()
-    await asyncio.sleep(0.02)  # a connection is not reused within some milliseconds after a response
+    await asyncio.sleep(1.5 * MIN_REUSE_DELAY_S)
 
 
 async def disconnect(writer: asyncio.StreamWriter, how: str) -> None:
