A client's connection is read again after a long body, whatever ended the body

Cause: five owners paused and resumed the reading of one connection, each on its own conditions. If a body's last byte came with the piece that paused the reading (no backend connected yet, or its socket full), the resume was skipped: attach and resume_writing resumed only while the body was not complete, and set_reading_paused ignored what came outside Phase.BODY. The close at the idle timeout left connections with unread input alone, without a new deadline.

Change: ReadingPause holds one set of reasons and alone pauses and resumes; the body stream derives its reason after every change and drops it with its source when the body ends. Backend connections, which had two owners, use the same. A connection that is due is closed within one second whatever is unread, and clients that are not read are polled for their disconnect every 50 ms.

--- a/heronreel/proxy/backend_connection.py
+++ b/heronreel/proxy/backend_connection.py
@@ -25,6 +25,7 @@
     Headers,
     end_to_end_lines,
 )
+from heronreel.proxy.reading_pause import PauseReason, ReadingPause
 from heronreel.proxy.reuse_delay import ReuseDelay
 from heronreel.proxy.streams import (
     MAX_BODY_BYTES,
@@ -186,8 +187,8 @@
     __slots__ = (
         "abandoned", "address", "attempt", "backend", "body_parts", "complete", "declared_length",
         "ends_with_connection", "has_unsent_bytes", "headers", "idle_since", "keep_alive", "parser", "pool",
-        "reading_paused", "received_bytes", "reserved_bytes", "responded_at", "section_bytes",
-        "silence_timer", "sink", "status", "transport",
+        "reading_pause", "received_bytes", "reserved_bytes", "responded_at", "section_bytes",
+        "silence_timer", "sink", "status", "transport", "writing_paused",
     )  # fmt: skip
 
     def __init__(self, pool: ConnectionOwner, backend: Backend) -> None:
@@ -209,7 +210,9 @@
         self.declared_length: int | None = None  # The Content-Length, if the head has one.
         # Receives a response that is forwarded while it is being received.
         self.sink: ResponseBodySink | None = None
-        self.reading_paused = False  # While reading is paused, missing input is no sign of a stalled backend.
+        # While reading is paused, missing input is no sign of a stalled backend.
+        self.reading_pause: ReadingPause
+        self.writing_paused = False  # The backend does not take more at present.
         self.complete = False  # The last byte of the response was read.
         self.ends_with_connection = False  # The response ends when the backend closes the connection.
         self.keep_alive = False
@@ -220,6 +223,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Count the new connection in the pool."""
         self.transport = cast(asyncio.Transport, transport)
+        self.reading_pause = ReadingPause(self.transport)
         # With a limit of 0, `resume_writing` is called when everything has been written.
         self.transport.set_write_buffer_limits(high=0)
         self.pool.connections.add(self)
@@ -271,15 +275,17 @@
 
     def pause_writing(self) -> None:
         """Stop reading the request body from the client, because the backend reads too slowly."""
-        if (upload := self._upload()) and not upload.complete:
-            upload.source.set_reading_paused(True)
+        self.writing_paused = True
+        if upload := self._upload():
+            upload.update_source()
 
     def resume_writing(self) -> None:
         """Resume reading the request body from the client, because the write buffer is empty."""
+        self.writing_paused = False
         upload = self._upload()
         self.has_unsent_bytes = upload is not None and not upload.complete
-        if self.has_unsent_bytes and upload:
-            upload.source.set_reading_paused(False)
+        if upload:
+            upload.update_source()
 
     def _upload(self) -> RequestBodyStream | None:
         """Return the request body that this connection forwards, if any."""
@@ -293,14 +299,12 @@
     # Reading.  The parser callbacks only record what they receive.  Responses are handled after all received
     # bytes were parsed, so that no further attempt can receive the rest of those bytes.
 
-    def set_reading_paused(self, paused: bool) -> None:
+    def set_client_blocked(self, blocked: bool) -> None:
         """Pause or resume reading, depending on whether the client can accept more of the response."""
-        if paused != self.reading_paused and not self.transport.is_closing():
-            self.reading_paused = paused
-            if paused:
-                self.transport.pause_reading()
-            else:
-                self.transport.resume_reading()
+        if blocked:
+            self.reading_pause.add(PauseReason.CLIENT_BLOCKED)
+        else:
+            self.reading_pause.remove(PauseReason.CLIENT_BLOCKED)
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, then finish, fail, stream or keep waiting for the response."""
@@ -321,7 +325,7 @@
         elif is_malformed or self.received_bytes > self._max_received_bytes():
             self._fail_response()
         elif self._must_stream() and not self.start_streaming():
-            self.set_reading_paused(True)
+            self.reading_pause.add(PauseReason.MEMORY_USED_UP)
             self.pool.waiting_for_memory[self] = None
         elif self.silence_timer is None:
             self.silence_timer = self.pool.loop.call_later(
@@ -374,7 +378,7 @@
         self.silence_timer = None
         if self.attempt is None:
             return
-        if self.received_bytes == received_bytes and not self.reading_paused:
+        if self.received_bytes == received_bytes and not self.reading_pause.is_paused():
             self._fail_response()
         else:
             delay_s = MAX_STREAM_SILENCE_S if self.sink else MAX_SILENCE_S
@@ -515,7 +519,7 @@
         self.attempt, self.headers, self.body_parts = None, [], []
         self.sink, self.declared_length = None, None
         self.pool.waiting_for_memory.pop(self, None)
-        self.set_reading_paused(False)
+        self.reading_pause.clear()
         self.pool.observer.budget.release(self.reserved_bytes)
         self.reserved_bytes = 0
         self.pool.resume_waiting_for_memory()
--- a/heronreel/proxy/client_connection.py
+++ b/heronreel/proxy/client_connection.py
@@ -44,6 +44,7 @@
     response_head,
     split_absolute_form,
 )
+from heronreel.proxy.reading_pause import PauseReason, ReadingPause
 from heronreel.proxy.request import RequestHead
 from heronreel.proxy.request_validation import (
     MAX_NUMBER_DIGITS,
@@ -87,19 +88,35 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection with the listener."""
         self.transport = cast(asyncio.Transport, transport)
+        self.reading_pause = ReadingPause(self.transport, self._on_pause_changed)
         self.listener.silent[self] = None
         self.admitted = self.listener.admit(self)
 
+    def _on_pause_changed(self, paused: bool) -> None:
+        if paused:
+            self.listener.disconnect_watch.add(self)
+        else:
+            self.listener.disconnect_watch.discard(self)
+
+    def close_if_disconnected(self) -> None:
+        """Close the connection if its client has disconnected while it waits for a backend's response."""
+        if self.request and not self.request.streaming:
+            self.has_disconnected()
+
     # Reading.  A parser callback that raises ends the parsing; the response then has `error_status`.
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, and dispatch the requests that they complete."""
         self.listener.silent.pop(self, None)
+        self.unread_at_close = False
+        if self.upload and self.has_disconnected():
+            return  # the backend must not get the rest of the body
         self.progress_bytes += len(data)
         if self.phase is Phase.CLOSING:
             record(EventKind.INPUT_DROPPED, bytes=len(data), connection=self.number)
             if self.progress_bytes > MAX_LINGER_BYTES:
-                self.transport.pause_reading()  # a rejected body may have 60 MB, which need not be read
+                # A rejected body may have 60 MB, which need not be read.
+                self.reading_pause.add(PauseReason.INPUT_UNWANTED)
             return
         try:
             self.parser.feed_data(data)
@@ -120,7 +137,7 @@
         if self._is_closing():
             return  # the response was sent while the body was still being received
         if self.phase is Phase.IDLE and self.close_after_response:
-            self.transport.pause_reading()  # input after the last request is ignored
+            self.reading_pause.add(PauseReason.INPUT_UNWANTED)  # input after the last request is ignored
         else:
             self._reject(self.error_status or 400, self.error_reason or RefusalReason.INVALID)
 
@@ -303,17 +320,17 @@
             raise UnreadableMessageError
         self.request = request
 
-    def set_reading_paused(self, paused: bool) -> None:
-        """Pause reading while the backend does not take more of a forwarded body, or resume it."""
-        if paused == self.reading_paused or self.phase is not Phase.BODY or self.transport.is_closing():
+    def set_body_blocked(self, blocked: bool) -> None:
+        """Pause reading while no backend takes more of a forwarded body, or resume it."""
+        if blocked == (PauseReason.BODY_BLOCKED in self.reading_pause):
             return
-        self.reading_paused = paused
-        if paused:
+        if blocked:
             self.due_at = time.monotonic() + MAX_UPLOAD_PAUSE_S
-            self.transport.pause_reading()
-        else:
+            self.reading_pause.add(PauseReason.BODY_BLOCKED)
+            return
+        if self.upload:
             self.due_at = time.monotonic() + MAX_BODY_PAUSE_S
-            self.transport.resume_reading()
+        self.reading_pause.remove(PauseReason.BODY_BLOCKED)
 
     def on_message_complete(self) -> None:
         """Parser callback: dispatch the request, or queue it until the previous one has its response."""
@@ -341,7 +358,7 @@
             read = TOO_MANY_PIPELINED
         self.pipelined.append(read)
         # One request is served at a time.  The event loop reports no disconnect until reading resumes.
-        self.transport.pause_reading()
+        self.reading_pause.add(PauseReason.REQUESTS_WAITING)
 
     def _finish_upload(self, upload: RequestBodyStream) -> None:
         self.upload, self.head = None, None
@@ -391,7 +408,8 @@
         self.listener.idle.pop(self, None)
         self.phase, self.close_after_response, self.due_at = Phase.CLOSING, True, math.inf
         if self.upload:  # the request can't be completed, so the backend never executes it
-            self.upload, request, self.request = None, self.request, None
+            self._end_upload()
+            request, self.request = self.request, None
             if request:
                 self.listener.dispatcher.client_disconnected(request)
         if self.request is None and not self.pipelined:
@@ -416,7 +434,7 @@
         elif self.phase in (Phase.HEAD, Phase.BODY):
             self._reject(408, RefusalReason.TIMED_OUT)
         elif self.phase is Phase.IDLE and not self.transport.get_write_buffer_size():
-            self.close(CloseReason.IDLE if self.requests_read else CloseReason.NO_FIRST_BYTE)
+            self.close_overdue(CloseReason.IDLE if self.requests_read else CloseReason.NO_FIRST_BYTE)
         else:
             self.abort(CloseReason.LINGER_ENDED)
 
@@ -428,6 +446,7 @@
         """Release the connection's memory, and report the disconnect of its request's client."""
         self.listener.remove(self)
         self._release_body()
+        self._end_upload()
         for read in self.pipelined:
             self.listener.dispatcher.budget.release(len(read.body))
         self.pipelined.clear()
--- a/heronreel/proxy/client_interface.py
+++ b/heronreel/proxy/client_interface.py
@@ -6,6 +6,7 @@
 from enum import Enum
 from typing import NamedTuple, Protocol, TypeVar
 
+from heronreel.proxy.disconnect_watch import DisconnectWatch
 from heronreel.proxy.dispatcher import Dispatcher
 from heronreel.proxy.event_log import RefusalReason
 from heronreel.proxy.request import RequestHead
@@ -28,6 +29,8 @@
 # After the last response, input is read and dropped for this long and up to this size: unread input would
 # reset the connection, and the reset could destroy the response.
 LINGER_S = 1.0
+# Input that is still unread this long after its connection was due to be closed does not delay the close.
+UNREAD_INPUT_TIMEOUT_S = 1.0
 MAX_LINGER_BYTES = 256 << 10
 
 Connection = TypeVar("Connection")
@@ -64,6 +67,7 @@
     dispatcher: Dispatcher
     silent: dict[Connection, None]  # connections that have not sent a byte
     idle: dict[Connection, None]  # connections between requests
+    disconnect_watch: DisconnectWatch  # polls the connections that are not read
 
     def admit(self, connection: Connection) -> bool:
         """Register a new connection; False means that its requests get an error response."""
--- a/heronreel/proxy/client_listener.py
+++ b/heronreel/proxy/client_listener.py
@@ -14,6 +14,7 @@
 from heronreel.proxy.client_connection import ClientConnection
 from heronreel.proxy.client_interface import IDLE_TIMEOUT_S, REQUEST_TIMEOUT_S, Phase
 from heronreel.proxy.config import Config, with_descriptors_in_use
+from heronreel.proxy.disconnect_watch import DisconnectWatch
 from heronreel.proxy.dispatcher import Dispatcher
 from heronreel.proxy.event_log import CloseReason, record_state
 from heronreel.proxy.socket_state import has_unread_input
@@ -65,6 +66,7 @@
         self.silent: dict[ClientConnection, None] = {}
         # Connections between requests, the longest idle first.
         self.idle: dict[ClientConnection, None] = {}
+        self.disconnect_watch = DisconnectWatch(loop)
         self.draining = False
         self.admit_until = math.inf  # requests whose last byte is read later are refused
         self.quiesced_at = math.inf  # when an operator quiesced the proxy; infinite while it is not quiesced
@@ -170,6 +172,7 @@
         self.connections.pop(client, None)
         self.idle.pop(client, None)
         self.silent.pop(client, None)
+        self.disconnect_watch.discard(client)
         if self.dispatcher.pool.lent_descriptors:
             self.dispatcher.pool.lend_descriptors(len(self.connections) - self.max_connections)
 
--- a/heronreel/proxy/client_writer.py
+++ b/heronreel/proxy/client_writer.py
@@ -18,6 +18,7 @@
     IDLE_TIMEOUT_S,
     LINGER_S,
     REQUEST_TIMEOUT_S,
+    UNREAD_INPUT_TIMEOUT_S,
     WRITE_TIMEOUT_S,
     ConnectionRegistry,
     Phase,
@@ -25,6 +26,7 @@
 )
 from heronreel.proxy.event_log import CloseReason, EventKind, record
 from heronreel.proxy.http1 import response_head
+from heronreel.proxy.reading_pause import PauseReason, ReadingPause
 from heronreel.proxy.request import Request
 from heronreel.proxy.socket_state import has_unread_input, peer_has_closed
 from heronreel.proxy.streams import LAST_CHUNK, RequestBodyStream, encode_chunk
@@ -35,8 +37,8 @@
 
     __slots__ = (
         "chunked", "close_after_response", "due_at", "is_http10", "listener", "number", "phase", "pipelined",
-        "progress_bytes", "reading_paused", "request", "response_source", "transport", "upload",
-        "writing_paused",
+        "progress_bytes", "reading_pause", "request", "response_source", "transport", "unread_at_close",
+        "upload", "writing_paused",
     )  # fmt: skip
 
     def __init__(self, listener: ConnectionRegistry[Any]) -> None:
@@ -49,7 +51,8 @@
         self.request: Request | None = None
         self.pipelined: deque[ReadRequest] = deque()
         self.upload: RequestBodyStream | None = None  # a body that is forwarded while it is received
-        self.reading_paused = False  # the backend does not yet take more of the forwarded body
+        self.reading_pause: ReadingPause
+        self.unread_at_close = False  # there was unread input when the connection was due to be closed
         self.response_source: BackendConnection | None = None  # sends the response being forwarded
         self.chunked = False  # whether the forwarded response is sent in chunks
         self.is_http10 = False  # whether the request being answered is an HTTP/1.0 request
@@ -68,23 +71,27 @@
             return  # the client has not yet read the previous responses
         if self.pipelined and self.request is None and not self.transport.is_closing():
             read = self.pipelined.popleft()
-            if not self.pipelined and self.phase is not Phase.CLOSING and not self.writing_paused:
-                self.transport.resume_reading()
+            if not self.pipelined:
+                self.reading_pause.remove(PauseReason.REQUESTS_WAITING)
             self._serve(read)
 
     def respond(self, status: int, header_lines: bytes, body: bytes = b"") -> None:
         """Send a complete response."""
         self.close_after_response = self.close_after_response or self.listener.is_closing_connections()
         if self.upload:  # the rest of the request body, still being received, is not needed
-            self.upload, self.close_after_response = None, True
+            self.close_after_response = True
             self.phase = Phase.CLOSING
-            if self.reading_paused:
-                self.reading_paused = False
-                self.transport.resume_reading()  # the input is dropped
+            self._end_upload()
         close = self.close_after_response and not self.pipelined
         self.transport.write(response_head(status, header_lines, len(body), close) + body)
         self._on_responded()
 
+    def _end_upload(self) -> None:
+        """Forward no more of the request body; the rest of it is read and dropped."""
+        if upload := self.upload:
+            self.upload = None
+            upload.release_source()
+
     def _on_responded(self) -> None:
         self.request = None
         if self.pipelined:
@@ -152,18 +159,17 @@
         """Stop reading from the client until it has read what was written to it."""
         self.writing_paused = True
         self.due_at = time.monotonic() + WRITE_TIMEOUT_S
-        self.transport.pause_reading()
+        self.reading_pause.add(PauseReason.RESPONSES_UNREAD)
         if self.response_source:
-            self.response_source.set_reading_paused(True)
+            self.response_source.set_client_blocked(True)
 
     def resume_writing(self) -> None:
         """Go on after the client has read enough of what was written to it."""
         self.writing_paused = False
         self.due_at = math.inf if self.request else time.monotonic() + LINGER_S
-        if not self.pipelined and not self.reading_paused:
-            self.transport.resume_reading()
+        self.reading_pause.remove(PauseReason.RESPONSES_UNREAD)
         if self.response_source:
-            self.response_source.set_reading_paused(False)
+            self.response_source.set_client_blocked(False)
         self._serve_pipelined()
 
     # Closing.
@@ -173,7 +179,7 @@
         self.listener.idle.pop(self, None)
         self.phase, self.progress_bytes = Phase.CLOSING, 0
         self.due_at = time.monotonic() + LINGER_S
-        self.transport.resume_reading()  # input left unread at the close would reset the connection
+        self.reading_pause.clear()  # input left unread at the close would reset the connection
         if self.transport.can_write_eof() and not self.transport.is_closing():
             self.transport.write_eof()
 
@@ -196,6 +202,18 @@
         self.close_after_response = True
         self._linger()
 
+    def close_overdue(self, reason: CloseReason) -> None:
+        """Close a connection whose time is over; unread input delays this, but not without limit."""
+        self.close(reason)
+        if self.phase is Phase.CLOSING:
+            return
+        if self.unread_at_close:
+            self.abort(reason)
+            return
+        # Usually the event loop reads the input in its next turn.
+        self.unread_at_close = True
+        self.due_at = time.monotonic() + UNREAD_INPUT_TIMEOUT_S
+
     def abort(self, reason: CloseReason) -> None:
         """Close the connection at once, and count its descriptor as free."""
         self._record_close(reason)
--- a/heronreel/proxy/connection_pool.py
+++ b/heronreel/proxy/connection_pool.py
@@ -23,6 +23,7 @@
     Response,
 )
 from heronreel.proxy.config import Config
+from heronreel.proxy.reading_pause import PauseReason
 from heronreel.proxy.socket_state import has_unread_input
 
 # The share of the backend descriptors that is never lent to clients.
@@ -279,4 +280,4 @@
             self.waiting_for_memory and (connection := next(iter(self.waiting_for_memory))).start_streaming()
         ):
             del self.waiting_for_memory[connection]
-            connection.set_reading_paused(False)
+            connection.reading_pause.remove(PauseReason.MEMORY_USED_UP)
--- a/heronreel/proxy/streams.py
+++ b/heronreel/proxy/streams.py
@@ -30,12 +30,18 @@
 class PausableSource(Protocol):
     """The connection that a body is read from, whose reading can be paused."""
 
-    def set_reading_paused(self, paused: bool) -> None:
-        """Pause or resume reading."""
+    def set_body_blocked(self, blocked: bool) -> None:
+        """Pause reading because the body can't be forwarded at present, or end this reason for a pause."""
 
 
 class RequestBodySink(Protocol):
-    """The connection that a request body is written to."""
+    """The connection that a request body is written to.
+
+    Attributes:
+        writing_paused: Whether the connection does not take more at present.
+    """
+
+    writing_paused: bool
 
     def write_body(self, data: bytes) -> None:
         """Write the next part of the body."""
@@ -53,13 +59,14 @@
     """Forwards a request body from a client to one backend at a time.
 
     Until the body is `complete`, no backend has started to process the request: a backend starts when it has
-    received the last byte.
+    received the last byte.  The stream alone decides whether its source is blocked, which ends with the body:
+    with its last byte or when the source is released.
     """
 
     __slots__ = ("budget", "buffer", "buffered_bytes", "chunked", "complete", "sink", "source", "timeout_ms")
 
     def __init__(self, source: PausableSource, budget: ByteBudget, start: bytes, chunked: bool) -> None:
-        self.source = source
+        self.source: PausableSource | None = source  # None once no more of the body is expected.
         self.budget = budget
         self.buffer: list[bytes] | None = [start]  # All bytes received; None once a part was dropped.
         self.buffered_bytes = len(start)  # The caller has reserved the bytes of `start` from the budget.
@@ -78,8 +85,7 @@
         for data in self.buffer or ():
             sink.write_body(encode_chunk(data) if self.chunked else data)
         self._finish_sink()
-        if not self.complete:
-            self.source.set_reading_paused(False)
+        self.update_source()
 
     def detach(self, sink: RequestBodySink) -> None:
         """Stop forwarding to this sink, whose connection has ended.
@@ -88,6 +94,7 @@
         """
         if self.sink is sink:
             self.sink = None
+            self.update_source()
 
     def feed(self, data: bytes) -> None:
         """Forward received bytes, and buffer them for a retry as long as the limits allow."""
@@ -103,14 +110,30 @@
                 self.drop_buffer()  # Limits the memory; the body can't be sent again after this.
         if self.sink is not None:
             self.sink.write_body(encode_chunk(data) if self.chunked else data)
-        elif self.buffer is not None and self.buffered_bytes > MAX_BUFFERED_REQUEST_BYTES:
-            self.source.set_reading_paused(True)  # Until a sink is attached.
+        self.update_source()
 
     def finish(self) -> None:
         """Handle the end of the body: its last byte was received."""
         self.complete = True
+        self.release_source()
         self._finish_sink()
 
+    def update_source(self) -> None:
+        """Pause or resume the source, after a change of what the sink takes."""
+        if self.source is not None:
+            self.source.set_body_blocked(self._is_blocked())
+
+    def _is_blocked(self) -> bool:
+        if self.sink is not None:
+            return self.sink.writing_paused
+        return self.buffer is not None and self.buffered_bytes > MAX_BUFFERED_REQUEST_BYTES
+
+    def release_source(self) -> None:
+        """End the pause of the source, which may now send something else than this body."""
+        source, self.source = self.source, None
+        if source is not None:
+            source.set_body_blocked(False)
+
     def _finish_sink(self) -> None:
         if self.complete and self.sink is not None:
             if self.chunked:
--- /dev/null
+++ b/tests/proxy/test_paused_reading.py
@@ -0,0 +1,126 @@
+"""Client connections whose reading is paused, by a request body or by anything else.
+
+Guards against connections that are never read again: their next request gets no response, and they stay open
+until the process ends.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from pathlib import Path
+
+import pytest
+
+from heronreel.proxy.client_interface import UNREAD_INPUT_TIMEOUT_S
+from heronreel.proxy.client_listener import ClientListener
+from heronreel.proxy.config import load
+from heronreel.proxy.dispatcher import Dispatcher
+from heronreel.proxy.reading_pause import PauseReason
+from tests.proxy.test_race_conditions import PausingBackend, disconnect
+from tests.support.loopback import (
+    Backend,
+    Discovery,
+    Listener,
+    configuration,
+    entry,
+    ok,
+    proxy_with_backend,
+    read_head,
+    read_response,
+    request,
+    run,
+)
+
+MB = 1 << 20
+# Little more than what the proxy holds of a body while it connects to the backend, so that the last byte
+# comes with the piece that pauses the reading.
+LENGTHS_AT_THE_PAUSE = range(530_000, 690_000, 20_000)
+# Just under a multiple of what the event loop reads at once, at a backend that reads slowly.
+LENGTHS_AT_A_SLOW_BACKEND = range(2 * MB - 1_000, 4 * MB, 256_000)
+READ_INTERVAL_S = 0.005
+RESPONSE_TIMEOUT_S = 10.0  # a connection that is not read again never responds
+DISCONNECT_TIMEOUT_S = 5.0
+
+
+async def read_slowly(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Serve requests; bodies of more than 1 MiB are read at about 12 MB a second."""
+    while True:
+        head = await read_head(reader)
+        left = length = int(head["content-length"])
+        while left:
+            data = await reader.read(min(left, 65536))
+            if not data:
+                return
+            left -= len(data)
+            if length > MB:
+                await asyncio.sleep(READ_INTERVAL_S)
+        writer.write(ok(head["x-request-id"].encode()))
+
+
+@pytest.mark.parametrize(
+    "lengths", [LENGTHS_AT_THE_PAUSE, LENGTHS_AT_A_SLOW_BACKEND], ids=["connect", "slow"]
+)
+def test_the_request_after_a_long_body_is_answered(tmp_path: Path, lengths: range) -> None:
+    async def scenario() -> None:
+        async with proxy_with_backend(tmp_path, Listener(read_slowly), memory_mb=128) as proxy:
+
+            async def send_both(length: int) -> None:
+                reader, writer = await proxy.connect()
+                for number in range(4):
+                    body = b"x" * (50 if number % 2 else length)
+                    ident = f"r{length}-{number}"
+                    writer.write(request(ident, body=body))
+                    async with asyncio.timeout(RESPONSE_TIMEOUT_S):
+                        assert await read_response(reader) == ("200", ident.encode())
+
+            await asyncio.gather(*map(send_both, lengths))
+
+    run(scenario())
+
+
+def test_a_client_that_disconnects_while_it_is_not_read_ends_its_request(tmp_path: Path) -> None:
+    """Its reading is paused because the backend takes no more of its body."""
+
+    async def scenario() -> None:
+        backend = PausingBackend()
+        async with proxy_with_backend(tmp_path, backend) as proxy:
+            _, writer = await proxy.connect()
+            writer.write(request("a1", body=b"x" * (16 * MB)))
+            await backend.head_read.wait()
+            await asyncio.sleep(0.3)  # let all buffers on the way fill
+            await disconnect(writer, "resets")
+            async with asyncio.timeout(DISCONNECT_TIMEOUT_S):
+                await proxy.log_line("client left")
+            backend.go.set()
+            await backend.done.wait()
+            assert not backend.complete.is_set()
+
+    run(scenario())
+
+
+def test_a_connection_that_is_due_is_closed_within_a_bound_whatever_is_unread(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with Backend() as backend, Discovery(entry("b1", backend.address)) as discovery:
+            file = tmp_path / "config.json"
+            file.write_text(json.dumps(configuration(discovery.address, entry("b1", backend.address))))
+            config = load({"LB_NAME": "n0", "LB_LISTEN": "127.0.0.1:0", "LB_CONFIG": str(file)})
+            loop = asyncio.get_running_loop()
+            listener = ClientListener(loop, config, Dispatcher(loop, config))
+            host, port = listener.listen(("127.0.0.1", 0))
+            _, writer = await asyncio.open_connection(host, port)
+            while not listener.connections:
+                await asyncio.sleep(0.001)
+            (client,) = listener.connections
+            client.reading_pause.add(PauseReason.INPUT_UNWANTED)
+            writer.write(request("a1"))
+            await writer.drain()
+            client.on_overdue()
+            assert not client.transport.is_closing()  # the input may be read in the next turn
+            assert client.due_at <= time.monotonic() + UNREAD_INPUT_TIMEOUT_S
+            client.on_overdue()
+            assert client.transport.is_closing() and not listener.connections
+            await listener.stop_listening(False, time.monotonic() + 1.0)
+
+    run(scenario())
--- a/tests/proxy/test_streams.py
+++ b/tests/proxy/test_streams.py
@@ -370,6 +370,7 @@
     class Peer:
         def __init__(self) -> None:
             self.received, self.pauses, self.ended = b"", list[bool](), False
+            self.writing_paused = False
 
         def write_body(self, data: bytes) -> None:
             self.received += data
@@ -377,8 +378,8 @@
         def finish_body(self) -> None:
             self.ended = True
 
-        def set_reading_paused(self, paused: bool) -> None:
-            self.pauses.append(paused)
+        def set_body_blocked(self, blocked: bool) -> None:
+            self.pauses.append(blocked)
 
     client, first, second = Peer(), Peer(), Peer()
     budget = ByteBudget(4 * MAX_BUFFERED_REQUEST_BYTES)
