Slow readers of long messages are measured by what they take, not by the kernel's buffer

A client that read 6 MiB at 128 kB a second was cut off after 5 s, as was one whose last bytes waited in the process while the limits of lingering (1 s) or of an idle connection (15 s) ran. A backend that read a long body slowly had the same limit.

Cause: the 5 s counted from when the kernel's send buffer was full until the event loop resumed writing, which it does when a third of a buffer of up to 4 MB is free: 10 s at 128 kB a second. Nothing looked at what the peer had acknowledged meanwhile.

Change: a credit of time, 40 s at most, runs down while bytes wait in the process; each byte that the peer's kernel acknowledged (SIOCOUTQ) adds what it may need at 48 kB a second. The same credit holds for a backend that takes a body.

--- a/heronreel/proxy/backend_connection.py
+++ b/heronreel/proxy/backend_connection.py
@@ -17,6 +17,7 @@
 
 from heronreel.balancer.interface import Outcome
 from heronreel.proxy.budget import ByteBudget
+from heronreel.proxy.delivery import DeliveryCredit
 from heronreel.proxy.errors import UnreadableMessageError
 from heronreel.proxy.http1 import (
     DATE_LINE,
@@ -27,6 +28,7 @@
 )
 from heronreel.proxy.reading_pause import PauseReason, ReadingPause
 from heronreel.proxy.reuse_delay import ReuseDelay
+from heronreel.proxy.socket_state import unacknowledged_bytes
 from heronreel.proxy.streams import (
     MAX_BODY_BYTES,
     MAX_BUFFERED_RESPONSE_BYTES,
@@ -185,10 +187,10 @@
     """One connection to a backend, which carries one attempt at a time."""
 
     __slots__ = (
-        "abandoned", "address", "attempt", "backend", "body_parts", "complete", "declared_length",
+        "abandoned", "address", "attempt", "backend", "body_parts", "complete", "declared_length", "delivery",
         "ends_with_connection", "has_unsent_bytes", "headers", "idle_since", "keep_alive", "parser", "pool",
-        "reading_pause", "received_bytes", "reserved_bytes", "responded_at", "section_bytes",
-        "silence_timer", "sink", "status", "transport", "writing_paused",
+        "reading_pause", "received_bytes", "reserved_bytes", "responded_at", "section_bytes", "silence_timer",
+        "sink", "status", "transport", "writing_paused", "written_bytes",
     )  # fmt: skip
 
     def __init__(self, pool: ConnectionOwner, backend: Backend) -> None:
@@ -213,6 +215,8 @@
         # While reading is paused, missing input is no sign of a stalled backend.
         self.reading_pause: ReadingPause
         self.writing_paused = False  # The backend does not take more at present.
+        self.written_bytes = 0  # Bytes written of request bodies that are forwarded.
+        self.delivery = DeliveryCredit()
         self.complete = False  # The last byte of the response was read.
         self.ends_with_connection = False  # The response ends when the backend closes the connection.
         self.keep_alive = False
@@ -252,6 +256,7 @@
         head = b"%bx-deadline-ms: %d\r\n\r\n" % (request.head, timeout_ms)
         if request.upload:
             self.has_unsent_bytes = True
+            self.delivery = DeliveryCredit()
             transport.write(head)
             request.upload.attach(self)
         elif len(request.body) <= MAX_JOINED_BODY_BYTES:
@@ -267,6 +272,7 @@
 
     def write_body(self, data: bytes) -> None:
         """Send the next part of a request body."""
+        self.written_bytes += len(data)
         self.transport.write(data)
 
     def finish_body(self) -> None:
@@ -276,6 +282,7 @@
     def pause_writing(self) -> None:
         """Stop reading the request body from the client, because the backend reads too slowly."""
         self.writing_paused = True
+        self.delivery.start(time.monotonic(), self._taken_bytes())
         if upload := self._upload():
             upload.update_source()
 
@@ -287,6 +294,15 @@
         if upload:
             upload.update_source()
 
+    def _taken_bytes(self) -> int:
+        """Return how many bytes of request bodies the backend has acknowledged."""
+        waiting = self.transport.get_write_buffer_size() + unacknowledged_bytes(self.transport)
+        return self.written_bytes - waiting
+
+    def is_taking(self, now: float) -> bool:
+        """Return whether the backend takes the request body, on the monotonic clock in seconds."""
+        return not self.writing_paused or self.delivery.is_left(now, self._taken_bytes())
+
     def _upload(self) -> RequestBodyStream | None:
         """Return the request body that this connection forwards, if any."""
         upload = self.attempt.request.upload if self.attempt else None
--- a/heronreel/proxy/client_connection.py
+++ b/heronreel/proxy/client_connection.py
@@ -21,11 +21,11 @@
     MAX_HEADER_FIELDS,
     MAX_LINGER_BYTES,
     MAX_PIPELINED,
-    MAX_UPLOAD_PAUSE_S,
     MIN_BODY_BYTES_PER_S,
     REQUEST_TIMEOUT_S,
     SMALL_BODY_BYTES,
     TOO_MANY_PIPELINED,
+    UPLOAD_CHECK_INTERVAL_S,
     ConnectionRegistry,
     Phase,
     ReadRequest,
@@ -65,7 +65,7 @@
 
     __slots__ = (
         "admitted", "body", "body_bytes", "declared_length", "error_reason", "error_status", "head",
-        "header_bytes", "headers", "parser", "requests_read", "started_at", "target",
+        "header_bytes", "headers", "parser", "requests_read", "target",
     )  # fmt: skip
 
     def __init__(self, listener: ConnectionRegistry[ClientConnection]) -> None:
@@ -82,12 +82,13 @@
         self.header_bytes = self.body_bytes = 0
         self.requests_read = 0
         self.declared_length = 0  # of the body; 0 if it is unknown
-        self.started_at = time.monotonic()  # of the request being read; infinite between requests
         self.admitted = True
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection with the listener."""
         self.transport = cast(asyncio.Transport, transport)
+        # With a limit of 0, writing is paused exactly while the kernel has not taken all.
+        self.transport.set_write_buffer_limits(high=0)
         self.reading_pause = ReadingPause(self.transport, self._on_pause_changed)
         self.listener.silent[self] = None
         self.admitted = self.listener.admit(self)
@@ -103,6 +104,10 @@
         if self.request and not self.request.streaming:
             self.has_disconnected()
 
+    def is_being_served(self) -> bool:
+        """Return whether the client waits for a response or still takes one."""
+        return self.request is not None or bool(self.pipelined) or self.writing_paused
+
     # Reading.  A parser callback that raises ends the parsing; the response then has `error_status`.
 
     def data_received(self, data: bytes) -> None:
@@ -247,7 +252,7 @@
         """
         if self.error_status or not self.admitted:
             self._refuse(self.error_status or 503, self.error_reason or RefusalReason.TOO_MANY_CONNECTIONS)
-        self.transport.write(CONTINUE_RESPONSE)
+        self._write(CONTINUE_RESPONSE)
 
     def on_body(self, data: bytes) -> None:
         """Parser callback: buffer more of the body, or forward it."""
@@ -325,11 +330,11 @@
         if blocked == (PauseReason.BODY_BLOCKED in self.reading_pause):
             return
         if blocked:
-            self.due_at = time.monotonic() + MAX_UPLOAD_PAUSE_S
+            self._set_timeout(UPLOAD_CHECK_INTERVAL_S)
             self.reading_pause.add(PauseReason.BODY_BLOCKED)
             return
         if self.upload:
-            self.due_at = time.monotonic() + MAX_BODY_PAUSE_S
+            self._set_timeout(MAX_BODY_PAUSE_S)
         self.reading_pause.remove(PauseReason.BODY_BLOCKED)
 
     def on_message_complete(self) -> None:
@@ -413,7 +418,7 @@
             if request:
                 self.listener.dispatcher.client_disconnected(request)
         if self.request is None and not self.pipelined:
-            self.transport.write(response_head(status, DATE_LINE.now(), 0, True))
+            self._write(response_head(status, DATE_LINE.now(), 0, True))
             self._linger()
 
     def reject_incomplete(self) -> None:
@@ -423,17 +428,18 @@
 
     def on_overdue(self) -> None:
         """Close the connection, or reject its request, because its next step was not made in time."""
-        if self.upload:
+        now = time.monotonic()
+        is_blocked = PauseReason.BODY_BLOCKED in self.reading_pause
+        if self.upload and is_blocked and self.upload.is_progressing(now):
+            self._set_timeout(UPLOAD_CHECK_INTERVAL_S)
+        elif self.upload:
             self._reject(408, RefusalReason.TIMED_OUT)
         elif self.request or self.pipelined:
-            if self.writing_paused:
-                self.abort(CloseReason.WRITE_TIMED_OUT)
-            else:
-                # Only a part of the request after those in flight has been received.
-                self._reject(408, RefusalReason.TIMED_OUT)
+            # Only a part of the request after those in flight has been received.
+            self._reject(408, RefusalReason.TIMED_OUT)
         elif self.phase in (Phase.HEAD, Phase.BODY):
             self._reject(408, RefusalReason.TIMED_OUT)
-        elif self.phase is Phase.IDLE and not self.transport.get_write_buffer_size():
+        elif self.phase is Phase.IDLE:
             self.close_overdue(CloseReason.IDLE if self.requests_read else CloseReason.NO_FIRST_BYTE)
         else:
             self.abort(CloseReason.LINGER_ENDED)
--- a/heronreel/proxy/client_interface.py
+++ b/heronreel/proxy/client_interface.py
@@ -20,12 +20,11 @@
 MIN_BODY_BYTES_PER_S = 48e3  # lowest rate at which a client may send a large body
 # Longest pause between pieces of a large body; at 64 kB a second they may arrive in large pieces.
 MAX_BODY_PAUSE_S = 1.5
-MAX_UPLOAD_PAUSE_S = 10.0  # longest time for which a backend may take nothing more of a forwarded body
+UPLOAD_CHECK_INTERVAL_S = 0.5  # how often it is checked that a backend takes more of a forwarded body
 # From the accept of the connection, or from the first byte of a later request, to the request's last byte.
 # Slow clients take up to 2 s.
 REQUEST_TIMEOUT_S = 2.6
 IDLE_TIMEOUT_S = 15.0  # between requests, while few connections are open
-WRITE_TIMEOUT_S = 5.0  # a client that reads nothing of its response for this long is disconnected
 # After the last response, input is read and dropped for this long and up to this size: unread input would
 # reset the connection, and the reset could destroy the response.
 LINGER_S = 1.0
--- a/heronreel/proxy/client_listener.py
+++ b/heronreel/proxy/client_listener.py
@@ -156,7 +156,7 @@
 
     def _abort_slowest(self, newest: ClientConnection) -> None:
         """Free a descriptor: abort a closing connection, else the one that sends its request for longest."""
-        slow = [client for client in self.connections if not client.request and not client.pipelined]
+        slow = [client for client in self.connections if not client.is_being_served()]
         slowest = min(
             slow, key=lambda client: (client.phase is not Phase.CLOSING, client.started_at), default=newest
         )
@@ -179,8 +179,11 @@
     def _sweep(self) -> None:
         self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
         now = time.monotonic()
-        for client in [client for client in self.connections if client.due_at <= now]:
-            client.on_overdue()
+        for client in list(self.connections):
+            if client.writing_paused:
+                client.check_delivery(now)
+            elif client.due_at <= now:
+                client.on_overdue()
         self._close_inactive(now)
         self.dispatcher.pool.close_expired(now)
 
--- a/heronreel/proxy/client_writer.py
+++ b/heronreel/proxy/client_writer.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import math
 import time
 from collections import deque
 from typing import Any
@@ -19,16 +18,16 @@
     LINGER_S,
     REQUEST_TIMEOUT_S,
     UNREAD_INPUT_TIMEOUT_S,
-    WRITE_TIMEOUT_S,
     ConnectionRegistry,
     Phase,
     ReadRequest,
 )
+from heronreel.proxy.delivery import DeliveryCredit
 from heronreel.proxy.event_log import CloseReason, EventKind, record
 from heronreel.proxy.http1 import response_head
 from heronreel.proxy.reading_pause import PauseReason, ReadingPause
 from heronreel.proxy.request import Request
-from heronreel.proxy.socket_state import has_unread_input, peer_has_closed
+from heronreel.proxy.socket_state import has_unread_input, peer_has_closed, unacknowledged_bytes
 from heronreel.proxy.streams import LAST_CHUNK, RequestBodyStream, encode_chunk
 
 
@@ -36,9 +35,9 @@
     """Sends responses to a client; `ClientConnection` adds the reading side."""
 
     __slots__ = (
-        "chunked", "close_after_response", "due_at", "is_http10", "listener", "number", "phase", "pipelined",
-        "progress_bytes", "reading_pause", "request", "response_source", "transport", "unread_at_close",
-        "upload", "writing_paused",
+        "chunked", "close_after_response", "delivery", "due_at", "is_http10", "listener", "number",
+        "paused_at", "phase", "pipelined", "progress_bytes", "reading_pause", "request", "response_source",
+        "started_at", "transport", "unread_at_close", "upload", "writing_paused", "written_bytes",
     )  # fmt: skip
 
     def __init__(self, listener: ConnectionRegistry[Any]) -> None:
@@ -57,15 +56,29 @@
         self.chunked = False  # whether the forwarded response is sent in chunks
         self.is_http10 = False  # whether the request being answered is an HTTP/1.0 request
         self.close_after_response = False  # no further request is served on this connection
-        self.writing_paused = False
-        self.due_at = time.monotonic() + REQUEST_TIMEOUT_S  # deadline of the connection's next step
+        self.writing_paused = False  # the client has not taken all that was written
+        # Since when no deadline runs, while writing is paused.
+        self.paused_at = 0.0
+        self.written_bytes = 0
+        self.delivery = DeliveryCredit()
+        self.started_at = time.monotonic()  # of the request being read; infinite between requests
+        self.due_at = self.started_at + REQUEST_TIMEOUT_S  # deadline of the connection's next step
 
     def _serve(self, read: ReadRequest) -> None:
         """Dispatch a request, or respond to it at once."""
         raise NotImplementedError
 
+    def _set_timeout(self, timeout_s: float) -> None:
+        """Set the deadline of the next step; the time does not run while writing is paused."""
+        self.paused_at = time.monotonic()
+        self.due_at = self.paused_at + timeout_s
+
     # Responses.
 
+    def _write(self, data: bytes) -> None:
+        self.written_bytes += len(data)
+        self.transport.write(data)
+
     def _serve_pipelined(self) -> None:
         if self.writing_paused:
             return  # the client has not yet read the previous responses
@@ -83,7 +96,7 @@
             self.phase = Phase.CLOSING
             self._end_upload()
         close = self.close_after_response and not self.pipelined
-        self.transport.write(response_head(status, header_lines, len(body), close) + body)
+        self._write(response_head(status, header_lines, len(body), close) + body)
         self._on_responded()
 
     def _end_upload(self) -> None:
@@ -94,12 +107,15 @@
 
     def _on_responded(self) -> None:
         self.request = None
+        self.delivery = DeliveryCredit()
+        if self.writing_paused:
+            self.delivery.start(time.monotonic(), self._taken_bytes())
         if self.pipelined:
             self.listener.loop.call_soon(self._serve_pipelined)
         elif self.close_after_response:
             self._linger()
         elif self.phase is Phase.IDLE:
-            self.due_at = time.monotonic() + IDLE_TIMEOUT_S
+            self._set_timeout(IDLE_TIMEOUT_S)
             self.listener.idle[self] = None
 
     def begin_stream(
@@ -123,21 +139,23 @@
             self.close_after_response or self.listener.is_closing_connections() or ends_with_connection
         )
         self.response_source = connection
+        if self.writing_paused:
+            connection.set_client_blocked(True)
         close = self.close_after_response and not self.pipelined
-        self.transport.write(response_head(start.status, start.header_lines, length, close, self.chunked))
+        self._write(response_head(start.status, start.header_lines, length, close, self.chunked))
         self.write_body(start.body)
         return self
 
     def write_body(self, data: bytes) -> None:
         """Send more of a forwarded response."""
         if data:
-            self.transport.write(encode_chunk(data) if self.chunked else data)
+            self._write(encode_chunk(data) if self.chunked else data)
 
     def finish_stream(self) -> None:
         """End a forwarded response after its last byte."""
         self.response_source = None
         if self.chunked:
-            self.transport.write(LAST_CHUNK)
+            self._write(LAST_CHUNK)
         self._on_responded()
 
     def abort_stream(self) -> None:
@@ -156,29 +174,45 @@
         return True
 
     def pause_writing(self) -> None:
-        """Stop reading from the client until it has read what was written to it."""
+        """Stop reading from the client until it has taken what was written to it."""
         self.writing_paused = True
-        self.due_at = time.monotonic() + WRITE_TIMEOUT_S
+        self.paused_at = time.monotonic()
+        self.delivery.start(self.paused_at, self._taken_bytes())
         self.reading_pause.add(PauseReason.RESPONSES_UNREAD)
         if self.response_source:
             self.response_source.set_client_blocked(True)
 
     def resume_writing(self) -> None:
-        """Go on after the client has read enough of what was written to it."""
+        """Go on after the client has taken what was written to it.
+
+        No deadline of the connection has run meanwhile.
+        """
         self.writing_paused = False
-        self.due_at = math.inf if self.request else time.monotonic() + LINGER_S
+        paused_s = time.monotonic() - self.paused_at
+        self.due_at += paused_s
+        self.started_at += paused_s
         self.reading_pause.remove(PauseReason.RESPONSES_UNREAD)
         if self.response_source:
             self.response_source.set_client_blocked(False)
         self._serve_pipelined()
 
+    def _taken_bytes(self) -> int:
+        """Return how many bytes the client has acknowledged."""
+        waiting = self.transport.get_write_buffer_size() + unacknowledged_bytes(self.transport)
+        return self.written_bytes - waiting
+
+    def check_delivery(self, now: float) -> None:
+        """Disconnect a client that takes too little of what was written to it."""
+        if not self.delivery.is_left(now, self._taken_bytes()):
+            self.abort(CloseReason.WRITE_TIMED_OUT)
+
     # Closing.
 
     def _linger(self) -> None:
         """Shut down the sending side and read on for a while, so that no reset destroys the response."""
         self.listener.idle.pop(self, None)
         self.phase, self.progress_bytes = Phase.CLOSING, 0
-        self.due_at = time.monotonic() + LINGER_S
+        self._set_timeout(LINGER_S)
         self.reading_pause.clear()  # input left unread at the close would reset the connection
         if self.transport.can_write_eof() and not self.transport.is_closing():
             self.transport.write_eof()
@@ -212,7 +246,7 @@
             return
         # Usually the event loop reads the input in its next turn.
         self.unread_at_close = True
-        self.due_at = time.monotonic() + UNREAD_INPUT_TIMEOUT_S
+        self._set_timeout(UNREAD_INPUT_TIMEOUT_S)
 
     def abort(self, reason: CloseReason) -> None:
         """Close the connection at once, and count its descriptor as free."""
--- a/heronreel/proxy/socket_state.py
+++ b/heronreel/proxy/socket_state.py
@@ -7,12 +7,16 @@
 
 from __future__ import annotations
 
+import fcntl
 import select
+import struct
+import termios
 from asyncio import Transport
 
 # The kernel reports these also while there are unread bytes before the end of the connection.
 CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
+_INT = struct.Struct("i")
 _poll = select.poll()
 
 
@@ -32,3 +36,14 @@
 def peer_has_closed(transport: Transport) -> bool:
     """Return whether the peer has closed the connection or shut down its sending side."""
     return transport.is_closing() or _ready_events(transport, CLOSED_EVENTS) & CLOSED_EVENTS != 0
+
+
+def unacknowledged_bytes(transport: Transport) -> int:
+    """Return how many written bytes the peer's kernel has not acknowledged, or 0 if this is not known."""
+    try:
+        descriptor = transport.get_extra_info("socket").fileno()
+        answer = fcntl.ioctl(descriptor, termios.TIOCOUTQ, bytes(_INT.size))
+    except OSError:
+        return 0
+    count: int = _INT.unpack(answer)[0]
+    return count
--- a/heronreel/proxy/streams.py
+++ b/heronreel/proxy/streams.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import math
+import time
 from typing import Protocol
 
 from heronreel.proxy.budget import ByteBudget
@@ -24,6 +25,9 @@
 # The memory reserved for one response stream; a stream buffers up to 402 KiB (bench/long_bodies.py).
 MAX_STREAM_BUFFER_BYTES = 448 << 10
 
+# The longest time for which a body that is being forwarded may have no backend's connection.
+MAX_TIME_WITHOUT_SINK_S = 10.0
+
 LAST_CHUNK = b"0\r\n\r\n"
 
 
@@ -43,6 +47,9 @@
 
     writing_paused: bool
 
+    def is_taking(self, now: float) -> bool:
+        """Return whether the backend takes the body, on the monotonic clock in seconds."""
+
     def write_body(self, data: bytes) -> None:
         """Write the next part of the body."""
 
@@ -63,7 +70,10 @@
     with its last byte or when the source is released.
     """
 
-    __slots__ = ("budget", "buffer", "buffered_bytes", "chunked", "complete", "sink", "source", "timeout_ms")
+    __slots__ = (
+        "budget", "buffer", "buffered_bytes", "chunked", "complete", "sink", "source", "timeout_ms",
+        "without_sink_since",
+    )  # fmt: skip
 
     def __init__(self, source: PausableSource, budget: ByteBudget, start: bytes, chunked: bool) -> None:
         self.source: PausableSource | None = source  # None once no more of the body is expected.
@@ -72,6 +82,7 @@
         self.buffered_bytes = len(start)  # The caller has reserved the bytes of `start` from the budget.
         self.chunked = chunked
         self.sink: RequestBodySink | None = None
+        self.without_sink_since = time.monotonic()
         self.complete = False
         self.timeout_ms = 0.0  # The request's timeout, which starts with the last byte of the body.
 
@@ -94,6 +105,7 @@
         """
         if self.sink is sink:
             self.sink = None
+            self.without_sink_since = time.monotonic()
             self.update_source()
 
     def feed(self, data: bytes) -> None:
@@ -128,6 +140,12 @@
             return self.sink.writing_paused
         return self.buffer is not None and self.buffered_bytes > MAX_BUFFERED_REQUEST_BYTES
 
+    def is_progressing(self, now: float) -> bool:
+        """Return whether more of the body will be taken: its backend takes it or is being connected to."""
+        if self.sink is not None:
+            return self.sink.is_taking(now)
+        return now - self.without_sink_since < MAX_TIME_WITHOUT_SINK_S
+
     def release_source(self) -> None:
         """End the pause of the source, which may now send something else than this body."""
         source, self.source = self.source, None
--- a/tests/proxy/test_reading_pause.py
+++ b/tests/proxy/test_reading_pause.py
@@ -61,6 +61,9 @@
     def finish_body(self) -> None:
         pass
 
+    def is_taking(self, now: float) -> bool:
+        return not self.full
+
     def set_writing_paused(self, paused: bool) -> None:
         self.writing_paused = paused
         if self.stream.sink is self:
--- a/tests/proxy/test_streams.py
+++ b/tests/proxy/test_streams.py
@@ -378,6 +378,9 @@
         def finish_body(self) -> None:
             self.ended = True
 
+        def is_taking(self, now: float) -> bool:
+            return True
+
         def set_body_blocked(self, blocked: bool) -> None:
             self.pauses.append(blocked)
 
