Backend connections rest for 20 ms after a response, as 50 ms cost handshakes

Second responses come some milliseconds late; 20 ms is several times that, and a backend that shows later ones gets a rest of four times their lateness from then on.

--- a/heronreel/proxy/reuse_delay.py
+++ b/heronreel/proxy/reuse_delay.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 # Second responses come some milliseconds late; this is several times as long.
-MIN_REUSE_DELAY_S = 0.05
+MIN_REUSE_DELAY_S = 0.02
 # A backend whose responses were followed by unexpected bytes gets a delay of this many times their lateness.
 DELAY_PER_LATENESS = 4.0
 # Bytes that come later than this belong to no second response, but for instance to an idle timeout.
