--- a/heronreel/proxy/client_connection.py
+++ b/heronreel/proxy/client_connection.py
@@ -64,8 +64,8 @@
     """One connection of a client."""
 
     __slots__ = (
-        "admitted", "body", "body_bytes", "declared_length", "error_reason", "error_status", "head",
-        "header_bytes", "headers", "parser", "requests_read", "target",
+        "admitted", "body", "body_blocked_at", "body_bytes", "declared_length", "error_reason",
+        "error_status", "head", "header_bytes", "headers", "parser", "requests_read", "target",
     )  # fmt: skip
 
     def __init__(self, listener: ConnectionRegistry[ClientConnection]) -> None:
@@ -80,6 +80,7 @@
         self.error_status = 0
         self.error_reason: RefusalReason | None = None
         self.header_bytes = self.body_bytes = 0
+        self.body_blocked_at = 0.0  # since when the body of a request can't be forwarded
         self.requests_read = 0
         self.declared_length = 0  # of the body; 0 if it is unknown
         self.admitted = True
@@ -330,10 +331,12 @@
         if blocked == (PauseReason.BODY_BLOCKED in self.reading_pause):
             return
         if blocked:
+            self.body_blocked_at = time.monotonic()
             self._set_timeout(UPLOAD_CHECK_INTERVAL_S)
             self.reading_pause.add(PauseReason.BODY_BLOCKED)
             return
         if self.upload:
+            self.started_at += time.monotonic() - self.body_blocked_at  # the client could not send
             self._set_timeout(MAX_BODY_PAUSE_S)
         self.reading_pause.remove(PauseReason.BODY_BLOCKED)
 
