One monitor measures what the peer takes, for clients and for backends

The count of written bytes and the credit of time stood twice, in the client's and in the backend's connection. DeliveryMonitor has both now; its credit begins when bytes have to wait for the first time in a message, so that a message that is taken at once costs no system call, and heads that were not counted no longer shorten it.

--- a/heronreel/proxy/backend_connection.py
+++ b/heronreel/proxy/backend_connection.py
@@ -17,7 +17,7 @@
 
 from heronreel.balancer.interface import Outcome
 from heronreel.proxy.budget import ByteBudget
-from heronreel.proxy.delivery import DeliveryCredit
+from heronreel.proxy.delivery_monitor import DeliveryMonitor
 from heronreel.proxy.errors import UnreadableMessageError
 from heronreel.proxy.http1 import (
     DATE_LINE,
@@ -28,7 +28,7 @@
 )
 from heronreel.proxy.reading_pause import PauseReason, ReadingPause
 from heronreel.proxy.reuse_delay import ReuseDelay
-from heronreel.proxy.socket_state import discard_unsent_bytes, unacknowledged_bytes, unsent_bytes
+from heronreel.proxy.socket_state import discard_unsent_bytes, unsent_bytes
 from heronreel.proxy.streams import (
     MAX_BODY_BYTES,
     MAX_BUFFERED_RESPONSE_BYTES,
@@ -190,7 +190,7 @@
         "abandoned", "address", "attempt", "backend", "body_parts", "complete", "declared_length", "delivery",
         "ends_with_connection", "has_unsent_bytes", "headers", "idle_since", "keep_alive", "parser", "pool",
         "reading_pause", "received_bytes", "reserved_bytes", "responded_at", "section_bytes", "silence_timer",
-        "sink", "status", "transport", "writing_paused", "written_bytes",
+        "sink", "status", "transport",
     )  # fmt: skip
 
     def __init__(self, pool: ConnectionOwner, backend: Backend) -> None:
@@ -214,9 +214,7 @@
         self.sink: ResponseBodySink | None = None
         # While reading is paused, missing input is no sign of a stalled backend.
         self.reading_pause: ReadingPause
-        self.writing_paused = False  # The backend does not take more at present.
-        self.written_bytes = 0  # Bytes written of request bodies that are forwarded.
-        self.delivery = DeliveryCredit()
+        self.delivery: DeliveryMonitor  # Of requests whose bodies are forwarded.
         self.complete = False  # The last byte of the response was read.
         self.ends_with_connection = False  # The response ends when the backend closes the connection.
         self.keep_alive = False
@@ -228,6 +226,7 @@
         """Count the new connection in the pool."""
         self.transport = cast(asyncio.Transport, transport)
         self.reading_pause = ReadingPause(self.transport)
+        self.delivery = DeliveryMonitor(self.transport)
         # With a limit of 0, `resume_writing` is called when everything has been written.
         self.transport.set_write_buffer_limits(high=0)
         self.pool.connections.add(self)
@@ -256,8 +255,8 @@
         head = b"%bx-deadline-ms: %d\r\n\r\n" % (request.head, timeout_ms)
         if request.upload:
             self.has_unsent_bytes = True
-            self.delivery = DeliveryCredit()
-            transport.write(head)
+            self.delivery.renew()
+            self.delivery.write(head)
             request.upload.attach(self)
         elif len(request.body) <= MAX_JOINED_BODY_BYTES:
             transport.write(head + request.body)
@@ -272,8 +271,7 @@
 
     def write_body(self, data: bytes) -> None:
         """Send the next part of a request body."""
-        self.written_bytes += len(data)
-        self.transport.write(data)
+        self.delivery.write(data)
 
     def finish_body(self) -> None:
         """Handle the end of a request body: its last byte was sent or is in the write buffer."""
@@ -281,14 +279,13 @@
 
     def pause_writing(self) -> None:
         """Stop reading the request body from the client, because the backend reads too slowly."""
-        self.writing_paused = True
-        self.delivery.start(time.monotonic(), self._taken_bytes())
+        self.delivery.begin_waiting()
         if upload := self._upload():
             upload.update_source()
 
     def resume_writing(self) -> None:
         """Resume reading the request body from the client, because the write buffer is empty."""
-        self.writing_paused = False
+        self.delivery.end_waiting()
         upload = self._upload()
         self.has_unsent_bytes = upload is not None and not upload.complete
         if upload:
@@ -307,14 +304,13 @@
             discard_unsent_bytes(self.transport)
         self.transport.abort()
 
-    def _taken_bytes(self) -> int:
-        """Return how many bytes of request bodies the backend has acknowledged."""
-        waiting = self.transport.get_write_buffer_size() + unacknowledged_bytes(self.transport)
-        return self.written_bytes - waiting
+    def is_blocked(self) -> bool:
+        """Return whether the backend does not take more of the request at present."""
+        return self.delivery.waiting
 
     def is_taking(self, now: float) -> bool:
         """Return whether the backend takes the request body, on the monotonic clock in seconds."""
-        return not self.writing_paused or self.delivery.is_left(now, self._taken_bytes())
+        return self.delivery.is_taking(now)
 
     def _upload(self) -> RequestBodyStream | None:
         """Return the request body that this connection forwards, if any."""
--- a/heronreel/proxy/client_connection.py
+++ b/heronreel/proxy/client_connection.py
@@ -31,6 +31,7 @@
     ReadRequest,
 )
 from heronreel.proxy.client_writer import ClientWriter
+from heronreel.proxy.delivery_monitor import DeliveryMonitor
 from heronreel.proxy.errors import UnreadableMessageError
 from heronreel.proxy.event_log import CloseReason, EventKind, RefusalReason, record
 from heronreel.proxy.http1 import (
@@ -88,7 +89,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection with the listener."""
         self.transport = cast(asyncio.Transport, transport)
-        # With a limit of 0, writing is paused exactly while the kernel has not taken all.
+        self.delivery = DeliveryMonitor(self.transport)
+        # With a limit of 0, `pause_writing` is called as soon as the kernel does not take all.
         self.transport.set_write_buffer_limits(high=0)
         self.reading_pause = ReadingPause(self.transport, self._on_pause_changed)
         self.listener.silent[self] = None
@@ -107,7 +109,7 @@
 
     def is_being_served(self) -> bool:
         """Return whether the client waits for a response or still takes one."""
-        return self.request is not None or bool(self.pipelined) or self.writing_paused
+        return self.request is not None or bool(self.pipelined) or self.delivery.waiting
 
     # Reading.  A parser callback that raises ends the parsing; the response then has `error_status`.
 
@@ -253,7 +255,7 @@
         """
         if self.error_status or not self.admitted:
             self._refuse(self.error_status or 503, self.error_reason or RefusalReason.TOO_MANY_CONNECTIONS)
-        self._write(CONTINUE_RESPONSE)
+        self.delivery.write(CONTINUE_RESPONSE)
 
     def on_body(self, data: bytes) -> None:
         """Parser callback: buffer more of the body, or forward it."""
@@ -421,7 +423,7 @@
             if request:
                 self.listener.dispatcher.client_disconnected(request)
         if self.request is None and not self.pipelined:
-            self._write(response_head(status, DATE_LINE.now(), 0, True))
+            self.delivery.write(response_head(status, DATE_LINE.now(), 0, True))
             self._linger()
 
     def reject_incomplete(self) -> None:
--- a/heronreel/proxy/client_listener.py
+++ b/heronreel/proxy/client_listener.py
@@ -180,7 +180,7 @@
         self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
         now = time.monotonic()
         for client in list(self.connections):
-            if client.writing_paused:
+            if client.delivery.waiting:
                 client.check_delivery(now)
             elif client.due_at <= now:
                 client.on_overdue()
--- a/heronreel/proxy/client_writer.py
+++ b/heronreel/proxy/client_writer.py
@@ -22,12 +22,12 @@
     Phase,
     ReadRequest,
 )
-from heronreel.proxy.delivery import DeliveryCredit
+from heronreel.proxy.delivery_monitor import DeliveryMonitor
 from heronreel.proxy.event_log import CloseReason, EventKind, record
 from heronreel.proxy.http1 import response_head
 from heronreel.proxy.reading_pause import PauseReason, ReadingPause
 from heronreel.proxy.request import Request
-from heronreel.proxy.socket_state import has_unread_input, peer_has_closed, unacknowledged_bytes
+from heronreel.proxy.socket_state import has_unread_input, peer_has_closed
 from heronreel.proxy.streams import LAST_CHUNK, RequestBodyStream, encode_chunk
 
 
@@ -37,7 +37,7 @@
     __slots__ = (
         "chunked", "close_after_response", "delivery", "due_at", "is_http10", "listener", "number",
         "paused_at", "phase", "pipelined", "progress_bytes", "reading_pause", "request", "response_source",
-        "started_at", "transport", "unread_at_close", "upload", "writing_paused", "written_bytes",
+        "started_at", "transport", "unread_at_close", "upload",
     )  # fmt: skip
 
     def __init__(self, listener: ConnectionRegistry[Any]) -> None:
@@ -56,11 +56,9 @@
         self.chunked = False  # whether the forwarded response is sent in chunks
         self.is_http10 = False  # whether the request being answered is an HTTP/1.0 request
         self.close_after_response = False  # no further request is served on this connection
-        self.writing_paused = False  # the client has not taken all that was written
-        # Since when no deadline runs, while writing is paused.
+        self.delivery: DeliveryMonitor  # of responses
+        # Since when no deadline runs, while bytes wait for the client.
         self.paused_at = 0.0
-        self.written_bytes = 0
-        self.delivery = DeliveryCredit()
         self.started_at = time.monotonic()  # of the request being read; infinite between requests
         self.due_at = self.started_at + REQUEST_TIMEOUT_S  # deadline of the connection's next step
 
@@ -69,18 +67,14 @@
         raise NotImplementedError
 
     def _set_timeout(self, timeout_s: float) -> None:
-        """Set the deadline of the next step; the time does not run while writing is paused."""
+        """Set the deadline of the next step; the time does not run while bytes wait for the client."""
         self.paused_at = time.monotonic()
         self.due_at = self.paused_at + timeout_s
 
     # Responses.
 
-    def _write(self, data: bytes) -> None:
-        self.written_bytes += len(data)
-        self.transport.write(data)
-
     def _serve_pipelined(self) -> None:
-        if self.writing_paused:
+        if self.delivery.waiting:
             return  # the client has not yet read the previous responses
         if self.pipelined and self.request is None and not self.transport.is_closing():
             read = self.pipelined.popleft()
@@ -96,7 +90,7 @@
             self.phase = Phase.CLOSING
             self._end_upload()
         close = self.close_after_response and not self.pipelined
-        self._write(response_head(status, header_lines, len(body), close) + body)
+        self.delivery.write(response_head(status, header_lines, len(body), close) + body)
         self._on_responded()
 
     def _end_upload(self) -> None:
@@ -107,9 +101,7 @@
 
     def _on_responded(self) -> None:
         self.request = None
-        self.delivery = DeliveryCredit()
-        if self.writing_paused:
-            self.delivery.start(time.monotonic(), self._taken_bytes())
+        self.delivery.renew()
         if self.pipelined:
             self.listener.loop.call_soon(self._serve_pipelined)
         elif self.close_after_response:
@@ -139,23 +131,23 @@
             self.close_after_response or self.listener.is_closing_connections() or ends_with_connection
         )
         self.response_source = connection
-        if self.writing_paused:
+        if self.delivery.waiting:
             connection.set_client_blocked(True)
         close = self.close_after_response and not self.pipelined
-        self._write(response_head(start.status, start.header_lines, length, close, self.chunked))
+        self.delivery.write(response_head(start.status, start.header_lines, length, close, self.chunked))
         self.write_body(start.body)
         return self
 
     def write_body(self, data: bytes) -> None:
         """Send more of a forwarded response."""
         if data:
-            self._write(encode_chunk(data) if self.chunked else data)
+            self.delivery.write(encode_chunk(data) if self.chunked else data)
 
     def finish_stream(self) -> None:
         """End a forwarded response after its last byte."""
         self.response_source = None
         if self.chunked:
-            self._write(LAST_CHUNK)
+            self.delivery.write(LAST_CHUNK)
         self._on_responded()
 
     def abort_stream(self) -> None:
@@ -175,9 +167,8 @@
 
     def pause_writing(self) -> None:
         """Stop reading from the client until it has taken what was written to it."""
-        self.writing_paused = True
         self.paused_at = time.monotonic()
-        self.delivery.start(self.paused_at, self._taken_bytes())
+        self.delivery.begin_waiting()
         self.reading_pause.add(PauseReason.RESPONSES_UNREAD)
         if self.response_source:
             self.response_source.set_client_blocked(True)
@@ -187,7 +178,7 @@
 
         No deadline of the connection has run meanwhile.
         """
-        self.writing_paused = False
+        self.delivery.end_waiting()
         paused_s = time.monotonic() - self.paused_at
         self.due_at += paused_s
         self.started_at += paused_s
@@ -196,14 +187,9 @@
             self.response_source.set_client_blocked(False)
         self._serve_pipelined()
 
-    def _taken_bytes(self) -> int:
-        """Return how many bytes the client has acknowledged."""
-        waiting = self.transport.get_write_buffer_size() + unacknowledged_bytes(self.transport)
-        return self.written_bytes - waiting
-
     def check_delivery(self, now: float) -> None:
         """Disconnect a client that takes too little of what was written to it."""
-        if not self.delivery.is_left(now, self._taken_bytes()):
+        if not self.delivery.is_taking(now):
             self.abort(CloseReason.WRITE_TIMED_OUT)
 
     # Closing.
--- a/heronreel/proxy/delivery.py
+++ b/heronreel/proxy/delivery.py
@@ -15,7 +15,7 @@
 
 
 class DeliveryCredit:
-    """The time that a receiver has left while bytes wait for it.
+    """The time that a receiver has left while bytes wait for it, after it has taken `taken_bytes` in all.
 
     It begins with `MAX_SILENCE_S`, which is also its maximum.  Each byte that is taken adds the time that it
     may need at `MIN_BYTES_PER_S`.  All times are in seconds on the monotonic clock.
@@ -23,9 +23,9 @@
 
     __slots__ = ("_checked_at", "_left_s", "_taken_bytes")
 
-    def __init__(self) -> None:
+    def __init__(self, taken_bytes: int) -> None:
         self._left_s = MAX_SILENCE_S
-        self._taken_bytes = 0
+        self._taken_bytes = taken_bytes
         self._checked_at = 0.0
 
     def start(self, now: float, taken_bytes: int) -> None:
--- a/heronreel/proxy/streams.py
+++ b/heronreel/proxy/streams.py
@@ -39,13 +39,10 @@
 
 
 class RequestBodySink(Protocol):
-    """The connection that a request body is written to.
+    """The connection that a request body is written to."""
 
-    Attributes:
-        writing_paused: Whether the connection does not take more at present.
-    """
-
-    writing_paused: bool
+    def is_blocked(self) -> bool:
+        """Return whether the backend does not take more at present."""
 
     def is_taking(self, now: float) -> bool:
         """Return whether the backend takes the body, on the monotonic clock in seconds."""
@@ -137,7 +134,7 @@
 
     def _is_blocked(self) -> bool:
         if self.sink is not None:
-            return self.sink.writing_paused
+            return self.sink.is_blocked()
         return self.buffer is not None and self.buffered_bytes > MAX_BUFFERED_REQUEST_BYTES
 
     def is_progressing(self, now: float) -> bool:
--- a/tests/proxy/test_delivery.py
+++ b/tests/proxy/test_delivery.py
@@ -21,7 +21,7 @@
 
 def time_of_cut_off(steps: list[tuple[float, int]]) -> float | None:
     """Return when a receiver that acknowledges so many bytes at these times is cut off, or None."""
-    credit, taken, now = DeliveryCredit(), 0, 100.0
+    credit, taken, now = DeliveryCredit(0), 0, 100.0
     credit.start(now, taken)
     for at, step_bytes in steps:
         while now + CHECK_INTERVAL_S < 100.0 + at:
@@ -57,7 +57,7 @@
 
 
 def test_time_in_which_nothing_waits_does_not_count() -> None:
-    credit = DeliveryCredit()
+    credit = DeliveryCredit(0)
     credit.start(0.0, 0)
     assert credit.is_left(0.9 * MAX_SILENCE_S, 0)
     credit.start(1000.0, 0)
--- a/tests/proxy/test_reading_pause.py
+++ b/tests/proxy/test_reading_pause.py
@@ -61,6 +61,9 @@
     def finish_body(self) -> None:
         pass
 
+    def is_blocked(self) -> bool:
+        return self.writing_paused
+
     def is_taking(self, now: float) -> bool:
         return not self.full
 
@@ -146,7 +149,7 @@
         if self.stream.source and self.is_begun:
             # Without a backend, all bodies here are longer than what is held, unless a part was dropped.
             sink = self.stream.sink
-            blocked = sink.writing_paused if sink else self.stream.buffer is not None
+            blocked = sink.is_blocked() if sink else self.stream.buffer is not None
         assert self.transport.reading == (not self.reasons and not blocked)
 
 
--- a/tests/proxy/test_streams.py
+++ b/tests/proxy/test_streams.py
@@ -370,7 +370,6 @@
     class Peer:
         def __init__(self) -> None:
             self.received, self.pauses, self.ended = b"", list[bool](), False
-            self.writing_paused = False
 
         def write_body(self, data: bytes) -> None:
             self.received += data
@@ -378,6 +377,9 @@
         def finish_body(self) -> None:
             self.ended = True
 
+        def is_blocked(self) -> bool:
+            return False
+
         def is_taking(self, now: float) -> bool:
             return True
 
