The framing of responses has a module of its own

Response, the receiver of forwarded bodies and the check of a response's framing, now a function with a typed result, are in response.py. Behaviour is as before; tests of malformed and long responses pass.

--- a/heronreel/proxy/backend_connection.py
+++ b/heronreel/proxy/backend_connection.py
@@ -27,6 +27,7 @@
     end_to_end_lines,
 )
 from heronreel.proxy.reading_pause import PauseReason, ReadingPause
+from heronreel.proxy.response import Response, ResponseBodySink, read_framing
 from heronreel.proxy.reuse_delay import ReuseDelay
 from heronreel.proxy.socket_state import discard_unsent_bytes, unsent_bytes
 from heronreel.proxy.streams import (
@@ -47,8 +48,6 @@
 MAX_FRAMING_FACTOR = 8
 # A request body up to this size is joined to its head in one buffer; copying a larger one is not worthwhile.
 MAX_JOINED_BODY_BYTES = 16 << 10
-# The maximum number of digits of a Content-Length.
-MAX_LENGTH_DIGITS = 12
 
 
 class AttemptRequest(Protocol):
@@ -68,13 +67,6 @@
     finished: bool
 
 
-class ResponseBodySink(Protocol):
-    """Receives a response body in parts, and pauses the backend connection while it can't accept more."""
-
-    def write_body(self, data: bytes) -> None:
-        """Receive the next part of the body."""
-
-
 class AttemptObserver(Protocol):
     """Receives the outcomes and responses of attempts."""
 
@@ -174,15 +166,6 @@
     ended: bool = False
 
 
-@dataclass(slots=True)
-class Response:
-    """A backend's response, or the start of a response that is forwarded while it is being received."""
-
-    status: int
-    header_lines: bytes
-    body: bytes
-
-
 class BackendConnection(asyncio.Protocol):
     """One connection to a backend, which carries one attempt at a time."""
 
@@ -432,21 +415,7 @@
         self.section_bytes = 0
         if self.status < 200:
             return
-        lengths = [value for name, value in self.headers if name == b"content-length"]
-        chunked = any(name == b"transfer-encoding" for name, _ in self.headers)
-        self.ends_with_connection = not lengths and not chunked and self.status not in (204, 304)
-        closes = any(name == b"connection" and value.lower() == b"close" for name, value in self.headers)
-        # A response may end with its connection only if it has `Connection: close`; otherwise a broken head
-        # may have lost its Content-Length.
-        if len(lengths) + chunked > 1 or (self.ends_with_connection and not closes):
-            raise UnreadableMessageError
-        if lengths and (
-            not lengths[0].isdigit()
-            or len(lengths[0]) > MAX_LENGTH_DIGITS
-            or int(lengths[0]) > MAX_BODY_BYTES
-        ):
-            raise UnreadableMessageError
-        self.declared_length = int(lengths[0]) if lengths else None
+        self.declared_length, self.ends_with_connection = read_framing(self.status, self.headers)
 
     def on_body(self, data: bytes) -> None:
         """Buffer or forward the next part of the body (parser callback)."""
--- a/heronreel/proxy/client_writer.py
+++ b/heronreel/proxy/client_writer.py
@@ -12,7 +12,7 @@
 from collections import deque
 from typing import Any
 
-from heronreel.proxy.backend_connection import BackendConnection, Response, ResponseBodySink
+from heronreel.proxy.backend_connection import BackendConnection
 from heronreel.proxy.client_interface import (
     IDLE_TIMEOUT_S,
     LINGER_S,
@@ -27,6 +27,7 @@
 from heronreel.proxy.http1 import response_head
 from heronreel.proxy.reading_pause import PauseReason, ReadingPause
 from heronreel.proxy.request import Request
+from heronreel.proxy.response import Response, ResponseBodySink
 from heronreel.proxy.socket_state import has_unread_input, peer_has_closed
 from heronreel.proxy.streams import LAST_CHUNK, RequestBodyStream, encode_chunk
 
--- a/heronreel/proxy/connection_pool.py
+++ b/heronreel/proxy/connection_pool.py
@@ -20,10 +20,10 @@
     AttemptObserver,
     Backend,
     BackendConnection,
-    Response,
 )
 from heronreel.proxy.config import Config
 from heronreel.proxy.reading_pause import PauseReason
+from heronreel.proxy.response import Response
 from heronreel.proxy.socket_state import has_unread_input
 
 # The share of the backend descriptors that is never lent to clients.
--- a/heronreel/proxy/dispatcher.py
+++ b/heronreel/proxy/dispatcher.py
@@ -20,8 +20,6 @@
     Attempt,
     Backend,
     BackendConnection,
-    Response,
-    ResponseBodySink,
 )
 from heronreel.proxy.backend_registry import BackendRegistry, stable_number
 from heronreel.proxy.budget import ByteBudget
@@ -32,6 +30,7 @@
 from heronreel.proxy.event_log import EventKind, RefusalReason, record
 from heronreel.proxy.http1 import DATE_LINE
 from heronreel.proxy.request import Request, RequestHead, ResponseWriter, Router
+from heronreel.proxy.response import Response, ResponseBodySink
 from heronreel.proxy.streams import RequestBodyStream
 
 # The time that a body may take to arrive: 32 MB at 64 kB a second take 500 s, plus a margin.
--- a/heronreel/proxy/request.py
+++ b/heronreel/proxy/request.py
@@ -8,7 +8,8 @@
 from typing import Protocol
 
 from heronreel.balancer import interface as api
-from heronreel.proxy.backend_connection import Attempt, BackendConnection, Response, ResponseBodySink
+from heronreel.proxy.backend_connection import Attempt, BackendConnection
+from heronreel.proxy.response import Response, ResponseBodySink
 from heronreel.proxy.streams import RequestBodyStream
 
 
--- a/heronreel/serve/metered_proxy.py
+++ b/heronreel/serve/metered_proxy.py
@@ -6,9 +6,10 @@
 
 from heronreel.metering.counts import NO_TENANT, ResponseKind, kind_of_status
 from heronreel.metering.meter import BegunResponse, UsageMeter
-from heronreel.proxy.backend_connection import BackendConnection, Response, ResponseBodySink
+from heronreel.proxy.backend_connection import BackendConnection
 from heronreel.proxy.dispatcher import Dispatcher
 from heronreel.proxy.request import Request, RequestHead, ResponseWriter
+from heronreel.proxy.response import Response, ResponseBodySink
 from heronreel.proxy.streams import RequestBodyStream
 
 
