The log tells the memory of the process, what it is used for, and why attempts failed

A line 'memory' is written every 10 s, and at once when the peak (VmHWM) first exceeds 0.9 of the limit: resident and peak memory, the limit, and the bytes counted by use. 'attempt ended' has a reason where the response was not usable. The counter of bytes is now MemoryAccount, which counts by use; what is counted and its limit are as before.

--- a/heronreel/proxy/__main__.py
+++ b/heronreel/proxy/__main__.py
@@ -21,6 +21,7 @@
 from heronreel.proxy.drain import drain, record_signal_time, run_until_exit
 from heronreel.proxy.errors import ConfigError
 from heronreel.proxy.logs import NOT_RATE_LIMITED, log_to_stderr
+from heronreel.proxy.process_memory import MemoryReport
 from heronreel.proxy.shared_state import SharedState
 
 if TYPE_CHECKING:
@@ -68,6 +69,9 @@
     ready.set()
     gc.collect()
     gc.freeze()  # objects that live as long as the process need not be scanned again
+    MemoryReport(
+        loop, lambda: clients.config.memory_bytes, dispatcher.memory, lambda: len(clients.connections)
+    )
     reloading = loop.create_task(_reload_on_signal(reload, dispatcher, clients))
     signalled_at = await stop
     if shared:
--- a/heronreel/proxy/backend_connection.py
+++ b/heronreel/proxy/backend_connection.py
@@ -16,9 +16,9 @@
 import httptools
 
 from heronreel.balancer.interface import Outcome
-from heronreel.proxy.budget import ByteBudget
 from heronreel.proxy.delivery_monitor import DeliveryMonitor
-from heronreel.proxy.errors import UnreadableMessageError
+from heronreel.proxy.errors import NoMemoryError, UnreadableMessageError
+from heronreel.proxy.event_log import FailureReason
 from heronreel.proxy.http1 import (
     DATE_LINE,
     MAX_HEAD_BYTES,
@@ -26,6 +26,7 @@
     Headers,
     end_to_end_lines,
 )
+from heronreel.proxy.memory_account import MemoryAccount, MemoryUse
 from heronreel.proxy.reading_pause import PauseReason, ReadingPause
 from heronreel.proxy.response import Response, ResponseBodySink, read_framing
 from heronreel.proxy.reuse_delay import ReuseDelay
@@ -70,7 +71,7 @@
 class AttemptObserver(Protocol):
     """Receives the outcomes and responses of attempts."""
 
-    budget: ByteBudget
+    memory: MemoryAccount
 
     def attempt_ended(self, attempt: Attempt, outcome: Outcome, response: Response | None) -> None:
         """Handle the end of an attempt; `response`, if any, is the one to send to the client."""
@@ -153,6 +154,7 @@
         ends_at: When the attempt times out, on the same clock.
         send_by: Sent after this time, the request might take effect a second time; on the same clock.
         timer: The timer of a timeout before the request's deadline.
+        failure: Why the response was not usable, if that is known.
     """
 
     request: AttemptRequest
@@ -164,6 +166,7 @@
     connection: BackendConnection | None = None
     timer: asyncio.TimerHandle | None = None
     ended: bool = False
+    failure: FailureReason | None = None
 
 
 class BackendConnection(asyncio.Protocol):
@@ -190,7 +193,7 @@
         self.body_parts: list[bytes] = []
         self.received_bytes = 0  # Bytes received for the current attempt.
         self.section_bytes = 0  # Size of the head so far, then of the body so far.
-        self.reserved_bytes = 0  # Bytes reserved from the memory budget.
+        self.reserved_bytes = 0  # Bytes reserved from the account.
         self.status = 0
         self.declared_length: int | None = None  # The Content-Length, if the head has one.
         # Receives a response that is forwarded while it is being received.
@@ -323,15 +326,13 @@
             self.transport.abort()
             return
         self.received_bytes += len(data)
-        is_malformed = False
-        try:
-            self.parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            is_malformed = True
+        failure = self._parse(data)
         if self.complete:
-            self._finish_response(self.keep_alive and not is_malformed)
-        elif is_malformed or self.received_bytes > self._max_received_bytes():
-            self._fail_response()
+            self._finish_response(self.keep_alive and failure is None)
+        elif failure:
+            self._fail_response(failure)
+        elif self.received_bytes > self._max_received_bytes():
+            self._fail_response(FailureReason.TOO_LONG)
         elif self._must_stream() and not self.start_streaming():
             self.reading_pause.add(PauseReason.MEMORY_USED_UP)
             self.pool.waiting_for_memory[self] = None
@@ -340,6 +341,17 @@
                 MAX_SILENCE_S, self._check_silence, self.received_bytes
             )
 
+    def _parse(self, data: bytes) -> FailureReason | None:
+        """Parse received bytes; return why the response is not usable, or None."""
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserCallbackError as error:
+            no_memory = isinstance(error.__context__, NoMemoryError)
+            return FailureReason.NO_MEMORY if no_memory else FailureReason.MALFORMED
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            return FailureReason.MALFORMED
+        return None
+
     def _max_received_bytes(self) -> int:
         return MAX_RAW_BYTES + MAX_FRAMING_FACTOR * self.section_bytes if self.status else MAX_HEAD_BYTES
 
@@ -361,10 +373,10 @@
         attempt = self.attempt
         if attempt is None or attempt.ended:
             return True
-        budget = self.pool.observer.budget
-        if not budget.reserve(MAX_STREAM_BUFFER_BYTES):
+        memory = self.pool.observer.memory
+        if not memory.reserve(MemoryUse.RESPONSES, MAX_STREAM_BUFFER_BYTES):
             return False
-        budget.release(self.reserved_bytes)
+        memory.release(MemoryUse.RESPONSES, self.reserved_bytes)
         self.reserved_bytes = MAX_STREAM_BUFFER_BYTES
         parts, self.body_parts = self.body_parts, []
         start = Response(self.status, self._header_lines(), b"".join(parts))
@@ -387,7 +399,7 @@
         if self.attempt is None:
             return
         if self.received_bytes == received_bytes and not self.reading_pause.is_paused():
-            self._fail_response()
+            self._fail_response(FailureReason.SILENT)
         else:
             delay_s = MAX_STREAM_SILENCE_S if self.sink else MAX_SILENCE_S
             self.silence_timer = self.pool.loop.call_later(delay_s, self._check_silence, self.received_bytes)
@@ -430,9 +442,8 @@
         if self.sink is not None:
             self.sink.write_body(data)
             return
-        if not self.pool.observer.budget.reserve(len(data)):
-            # There is no memory for the body.  As with a malformed response, the request may have run.
-            raise UnreadableMessageError
+        if not self.pool.observer.memory.reserve(MemoryUse.RESPONSES, len(data)):
+            raise NoMemoryError  # As with a malformed response, the request may have run.
         self.reserved_bytes += len(data)
         self.body_parts.append(data)
 
@@ -466,6 +477,7 @@
             # The backend rejects what the client sent, which says nothing about the backend's health.
             self.pool.end_attempt(attempt, Outcome.CANCELLED, Response(400, DATE_LINE.now(), b""))
         else:
+            attempt.failure = FailureReason.STATUS
             not_run = status in (429, 503, 504) and (b"x-not-run", b"1") in headers
             self.pool.end_attempt(attempt, Outcome.REJECTED if not_run else Outcome.ERROR)
 
@@ -483,8 +495,10 @@
         """
         return status == 200 or (self.pool.accepts_any_status and 200 <= status < 500 and status != 429)
 
-    def _fail_response(self) -> None:
+    def _fail_response(self, reason: FailureReason) -> None:
         """Fail the attempt after a malformed or endless response.  The request may have run."""
+        if self.attempt:
+            self.attempt.failure = reason
         self.transport.abort()
         self._fail_attempt(Outcome.ERROR)
 
@@ -514,7 +528,7 @@
         self.sink, self.declared_length = None, None
         self.pool.waiting_for_memory.pop(self, None)
         self.reading_pause.clear()
-        self.pool.observer.budget.release(self.reserved_bytes)
+        self.pool.observer.memory.release(MemoryUse.RESPONSES, self.reserved_bytes)
         self.reserved_bytes = 0
         self.pool.resume_waiting_for_memory()
         if self.silence_timer:
--- a/heronreel/proxy/client_connection.py
+++ b/heronreel/proxy/client_connection.py
@@ -15,7 +15,7 @@
 import httptools
 
 from heronreel.proxy.client_interface import (
-    LARGE_BODY_BUDGET_RATIO,
+    LARGE_BODY_MEMORY_RATIO,
     MAX_BODY_PAUSE_S,
     MAX_FRAMING_BYTES,
     MAX_HEADER_FIELDS,
@@ -45,6 +45,7 @@
     response_head,
     split_absolute_form,
 )
+from heronreel.proxy.memory_account import MemoryUse
 from heronreel.proxy.reading_pause import PauseReason, ReadingPause
 from heronreel.proxy.request import RequestHead
 from heronreel.proxy.request_validation import (
@@ -287,8 +288,8 @@
         self.due_at = max(first_due_at, min(now + MAX_BODY_PAUSE_S, at_minimum_rate))
 
     def _buffer_body(self, data: bytes) -> None:
-        budget_ratio = 1.0 if self.body_bytes <= SMALL_BODY_BYTES else LARGE_BODY_BUDGET_RATIO
-        if not self.admitted or not self.listener.dispatcher.budget.reserve(len(data), budget_ratio):
+        share = 1.0 if self.body_bytes <= SMALL_BODY_BYTES else LARGE_BODY_MEMORY_RATIO
+        if not self.admitted or not self.memory.reserve(MemoryUse.REQUESTS, len(data), share):
             self._release_body()
             # No part of the request was sent to a backend.  The response is sent once the whole body is read.
             self.error_status, self.error_reason = 503, RefusalReason.NO_MEMORY
@@ -300,7 +301,7 @@
             self.body += data
 
     def _release_body(self) -> None:
-        self.listener.dispatcher.budget.release(len(self.body))
+        self.memory.release(MemoryUse.REQUESTS, len(self.body))
         self.body = b""
 
     def _start_upload(self) -> None:
@@ -322,7 +323,7 @@
         else:
             head.encoded_head += b"transfer-encoding: chunked\r\n"
         self.is_http10 = head.is_http10
-        self.upload = RequestBodyStream(self, dispatcher.budget, body, not self.declared_length)
+        self.upload = RequestBodyStream(self, self.memory, body, not self.declared_length)
         request = dispatcher.submit(self, head, b"", self.upload)
         if request.finished:
             raise UnreadableMessageError
@@ -364,7 +365,7 @@
             self.listener.loop.call_soon(self._serve_pipelined)
         kept = MAX_PIPELINED if self.request else MAX_PIPELINED + 1
         if len(self.pipelined) >= kept:  # refused in its turn, and its body is not kept until then
-            self.listener.dispatcher.budget.release(len(read.body))
+            self.memory.release(MemoryUse.REQUESTS, len(read.body))
             read = TOO_MANY_PIPELINED
         self.pipelined.append(read)
         # One request is served at a time.  The event loop reports no disconnect until reading resumes.
@@ -388,7 +389,7 @@
         if head and not status and not self.listener.is_admitting():
             status, reason = 503, RefusalReason.DRAINING
         if head is None or status:
-            dispatcher.budget.release(len(body))
+            self.memory.release(MemoryUse.REQUESTS, len(body))
             if reason:
                 self._record_refusal(status or 400, reason, head)
             # After an invalid request, no further one of this client is served on the connection.
@@ -459,7 +460,7 @@
         self._release_body()
         self._end_upload()
         for read in self.pipelined:
-            self.listener.dispatcher.budget.release(len(read.body))
+            self.memory.release(MemoryUse.REQUESTS, len(read.body))
         self.pipelined.clear()
         request, self.request = self.request, None
         if request:
--- a/heronreel/proxy/client_interface.py
+++ b/heronreel/proxy/client_interface.py
@@ -14,8 +14,8 @@
 MAX_HEADER_FIELDS = 100  # in one request
 MAX_FRAMING_BYTES = 256 << 10  # of trailers and chunk extensions in one request
 SMALL_BODY_BYTES = 16 << 10
-# Larger bodies may only use this part of the memory budget; the rest is left for small ones.
-LARGE_BODY_BUDGET_RATIO = 0.85
+# Larger bodies may only use this part of the memory for peers; the rest is left for small ones.
+LARGE_BODY_MEMORY_RATIO = 0.85
 MAX_PIPELINED = 8  # requests that a client may send ahead of its responses
 MIN_BODY_BYTES_PER_S = 48e3  # lowest rate at which a client may send a large body
 # Longest pause between pieces of a large body; at 64 kB a second they may arrive in large pieces.
--- a/heronreel/proxy/client_writer.py
+++ b/heronreel/proxy/client_writer.py
@@ -36,13 +36,30 @@
     """Sends responses to a client; `ClientConnection` adds the reading side."""
 
     __slots__ = (
-        "chunked", "close_after_response", "delivery", "due_at", "is_http10", "listener", "number",
-        "paused_at", "phase", "pipelined", "progress_bytes", "reading_pause", "request", "response_source",
-        "started_at", "transport", "unread_at_close", "upload",
+        "chunked",
+        "close_after_response",
+        "delivery",
+        "due_at",
+        "is_http10",
+        "listener",
+        "memory",
+        "number",
+        "paused_at",
+        "phase",
+        "pipelined",
+        "progress_bytes",
+        "reading_pause",
+        "request",
+        "response_source",
+        "started_at",
+        "transport",
+        "unread_at_close",
+        "upload",
     )  # fmt: skip
 
     def __init__(self, listener: ConnectionRegistry[Any]) -> None:
         self.listener = listener
+        self.memory = listener.dispatcher.memory
         self.number = 0  # identifies the connection in the log
         self.transport: asyncio.Transport
         self.phase = Phase.IDLE
--- a/heronreel/proxy/config.py
+++ b/heronreel/proxy/config.py
@@ -66,6 +66,7 @@
     sockets: int = 0  # limit on descriptors for all processes of this proxy together
     # Responses other than 200 count as served too, unless they are server errors.
     accepts_any_status: bool = False
+    memory_bytes: int = 0  # limit on the memory of the process; 0: none is known
 
 
 def load(environ: Mapping[str, str]) -> Config:
@@ -114,6 +115,7 @@
         *resource_shares(memory_mb, sockets),
         admin_address=admin,
         sockets=sockets,
+        memory_bytes=int(memory_mb * MB),
     )
 
 
--- a/heronreel/proxy/dispatcher.py
+++ b/heronreel/proxy/dispatcher.py
@@ -22,13 +22,13 @@
     BackendConnection,
 )
 from heronreel.proxy.backend_registry import BackendRegistry, stable_number
-from heronreel.proxy.budget import ByteBudget
 from heronreel.proxy.config import Config
 from heronreel.proxy.connection_pool import ConnectionPool
 from heronreel.proxy.endpoint_watch import EndpointWatch
 from heronreel.proxy.endpoints import EndpointList
 from heronreel.proxy.event_log import EventKind, RefusalReason, record
 from heronreel.proxy.http1 import DATE_LINE
+from heronreel.proxy.memory_account import MemoryAccount, MemoryUse
 from heronreel.proxy.request import Request, RequestHead, ResponseWriter, Router
 from heronreel.proxy.response import Response, ResponseBodySink
 from heronreel.proxy.streams import RequestBodyStream
@@ -80,7 +80,7 @@
         self.watch = self._make_watch(config)
         self.requests: dict[int, Request] = {}  # Requests that are unfinished or have attempts in flight.
         self.request_ids: set[bytes] = set()  # The clients' ids of the same requests.
-        self.budget = ByteBudget(config.body_bytes)
+        self.memory = MemoryAccount(config.body_bytes)
         self.last_number = 0  # The number of the latest request.
         # Whether a list newer than the file's was received; true from the start if there is no discovery
         # service.
@@ -133,7 +133,7 @@
         self._take_settings(config.settings)
         self.dispatch(api.NewSettings(config.settings))
         self.pool.reconfigure(config)
-        self.budget.limit = config.body_bytes
+        self.memory.limit = config.body_bytes
         if self.watch and config.discovery:
             pushed = not config.settings.watch_list
             self.watch.reconfigure(config.discovery, pushed, config.drain_grace_ms / 1000.0)
@@ -387,7 +387,7 @@
     def _mark_finished(self, request: Request) -> None:
         """Mark a request as finished and release the data that a retry would need."""
         request.finished, request.client = True, None
-        self.budget.release(len(request.body))
+        self.memory.release(MemoryUse.REQUESTS, len(request.body))
         request.head = request.body = b""
         if request.upload:
             request.upload.drop_buffer()
@@ -443,15 +443,7 @@
         request, backend = cast(Request, attempt.request), attempt.backend
         request.last_outcome = outcome
         if outcome is not api.Outcome.SERVED:
-            record(
-                EventKind.ATTEMPT_ENDED,
-                request.request_id,
-                attempt=attempt.number,
-                backend=backend.name,
-                outcome=outcome,
-                sent=attempt.connection is not None,
-                after_ms=round((time.monotonic() - attempt.started_at) * 1000.0, 1),
-            )
+            self._record_failed_attempt(request, attempt, outcome)
         if attempt is request.streaming:
             self._finish_stream(request, outcome)
             self.registry.remove_if_unused(backend)
@@ -465,6 +457,19 @@
         self.dispatch(self._ended_event(request, attempt, outcome, request.finished))
         self.registry.remove_if_unused(backend)
 
+    def _record_failed_attempt(self, request: Request, attempt: Attempt, outcome: api.Outcome) -> None:
+        reason = {"reason": attempt.failure} if attempt.failure else {}
+        record(
+            EventKind.ATTEMPT_ENDED,
+            request.request_id,
+            attempt=attempt.number,
+            backend=attempt.backend.name,
+            outcome=outcome,
+            sent=attempt.connection is not None,
+            after_ms=round((time.monotonic() - attempt.started_at) * 1000.0, 1),
+            **reason,
+        )
+
     def response_streaming(
         self, attempt: Attempt, connection: BackendConnection, start: Response, length: int | None
     ) -> ResponseBodySink | None:
--- a/heronreel/proxy/errors.py
+++ b/heronreel/proxy/errors.py
@@ -15,5 +15,9 @@
     """A message from discovery is not a valid endpoint list.  The message names the invalid field."""
 
 
+class NoMemoryError(ProxyError):
+    """Raised in a parser callback to stop parsing a message for which there is no memory."""
+
+
 class UnreadableMessageError(ProxyError):
     """Raised in a parser callback to stop parsing an HTTP message that can't be processed any further."""
--- a/heronreel/proxy/event_log.py
+++ b/heronreel/proxy/event_log.py
@@ -85,6 +85,16 @@
     DRAIN_ENDED = "end of the drain"
 
 
+class FailureReason(Enum):
+    """Why an attempt ended without a usable response although its connection was not lost."""
+
+    MALFORMED = "malformed response"
+    TOO_LONG = "response is too long"
+    SILENT = "no more of the response for too long"
+    NO_MEMORY = "no memory for the response"
+    STATUS = "status of a failure"
+
+
 _limiters = {kind: LineRateLimiter() for kind in EventKind}
 
 
--- a/heronreel/proxy/streams.py
+++ b/heronreel/proxy/streams.py
@@ -12,7 +12,7 @@
 import time
 from typing import Protocol
 
-from heronreel.proxy.budget import ByteBudget
+from heronreel.proxy.memory_account import MemoryAccount, MemoryUse
 
 # A longer request body is forwarded while it is being received.
 MAX_BUFFERED_REQUEST_BYTES = 512 << 10
@@ -68,15 +68,15 @@
     """
 
     __slots__ = (
-        "budget", "buffer", "buffered_bytes", "chunked", "complete", "sink", "source", "timeout_ms",
+        "buffer", "buffered_bytes", "chunked", "complete", "memory", "sink", "source", "timeout_ms",
         "without_sink_since",
     )  # fmt: skip
 
-    def __init__(self, source: PausableSource, budget: ByteBudget, start: bytes, chunked: bool) -> None:
+    def __init__(self, source: PausableSource, memory: MemoryAccount, start: bytes, chunked: bool) -> None:
         self.source: PausableSource | None = source  # None once no more of the body is expected.
-        self.budget = budget
+        self.memory = memory
         self.buffer: list[bytes] | None = [start]  # All bytes received; None once a part was dropped.
-        self.buffered_bytes = len(start)  # The caller has reserved the bytes of `start` from the budget.
+        self.buffered_bytes = len(start)  # The caller has reserved the bytes of `start`.
         self.chunked = chunked
         self.sink: RequestBodySink | None = None
         self.without_sink_since = time.monotonic()
@@ -109,10 +109,10 @@
         """Forward received bytes, and buffer them for a retry as long as the limits allow."""
         if self.buffer is not None:
             fits = self.buffered_bytes + len(data) <= 2 * MAX_BUFFERED_REQUEST_BYTES
-            fits = fits and self.budget.reserve(len(data))
+            fits = fits and self.memory.reserve(MemoryUse.REQUESTS, len(data))
             # No request may be lost: bytes that were not sent to any backend yet are kept even beyond the
             # limits.  Reading is paused after them.
-            if fits or (self.sink is None and self.budget.reserve(len(data), math.inf)):
+            if fits or (self.sink is None and self.memory.reserve(MemoryUse.REQUESTS, len(data), math.inf)):
                 self.buffered_bytes += len(data)
                 self.buffer.append(data)
             else:
@@ -158,5 +158,5 @@
     def drop_buffer(self) -> None:
         """Release the bytes that were kept for a retry; the body can't be sent again after this."""
         self.buffer = None
-        self.budget.release(self.buffered_bytes)
+        self.memory.release(MemoryUse.REQUESTS, self.buffered_bytes)
         self.buffered_bytes = 0
--- a/tests/proxy/test_dispatcher.py
+++ b/tests/proxy/test_dispatcher.py
@@ -57,7 +57,7 @@
         assert await client.status == 503  # The request never ran, so it is rejected, and immediately.
         await asyncio.sleep(0)
         assert not dispatcher.pool.connecting and not dispatcher.pool.connections
-        assert not dispatcher.requests and not dispatcher.budget.used
+        assert not dispatcher.requests and not dispatcher.memory.used
 
     run(scenario())
 
--- a/tests/proxy/test_logs.py
+++ b/tests/proxy/test_logs.py
@@ -16,7 +16,7 @@
 from heronreel.proxy.__main__ import serve
 from heronreel.proxy.config import load
 from heronreel.proxy.logs import MAX_LINES_PER_S, NOT_RATE_LIMITED, RateLimitFilter
-from tests.support.loopback import Backend, configuration, entry, run
+from tests.support.loopback import Backend, configuration, entry, proxy_with_backend, run
 
 UNREACHABLE_ADDRESS = "127.0.0.1:9"  # no process listens on this port
 BURST_LINES = 50
@@ -57,3 +57,15 @@
 
     with caplog.at_level(logging.INFO):
         run(scenario())
+
+
+def test_the_memory_of_the_process_and_the_reason_of_a_failed_attempt_are_logged(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        backend = Backend(lambda head, body: b"HTTP/1.1 200 OK\r\nno colon\r\n\r\n")
+        async with proxy_with_backend(tmp_path, backend) as proxy:
+            line = await proxy.log_line("msg=memory")
+            assert " peak_mb=" in line and " limit_mb=64.0 " in line and " requests_bytes=" in line
+            assert (await proxy.send_request("a1"))[0] == "502"
+            assert 'reason="malformed response"' in await proxy.log_line('msg="attempt ended"')
+
+    run(scenario())
--- a/tests/proxy/test_reading_pause.py
+++ b/tests/proxy/test_reading_pause.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from heronreel.proxy.budget import ByteBudget
+from heronreel.proxy.memory_account import MemoryAccount, MemoryUse
 from heronreel.proxy.reading_pause import PauseReason, ReadingPause
 from heronreel.proxy.streams import MAX_BUFFERED_REQUEST_BYTES, RequestBodyStream
 
@@ -85,10 +85,10 @@
         self.begin_body()
 
     def begin_body(self) -> None:
-        budget = ByteBudget(64 << 20)
+        memory = MemoryAccount(64 << 20)
         start = b"x" * (MAX_BUFFERED_REQUEST_BYTES + 1)
-        assert budget.reserve(len(start))
-        self.stream = RequestBodyStream(Source(self.pause), budget, start, chunked=False)
+        assert memory.reserve(MemoryUse.REQUESTS, len(start))
+        self.stream = RequestBodyStream(Source(self.pause), memory, start, chunked=False)
         self.is_begun = False  # the first piece, or the first backend, decides whether reading is paused
 
     @rule(reason=st.sampled_from(OTHER_REASONS))
--- a/tests/proxy/test_streams.py
+++ b/tests/proxy/test_streams.py
@@ -13,7 +13,7 @@
 
 import pytest
 
-from heronreel.proxy.budget import ByteBudget
+from heronreel.proxy.memory_account import MemoryAccount, MemoryUse
 from heronreel.proxy.streams import MAX_BODY_BYTES, MAX_BUFFERED_REQUEST_BYTES, RequestBodyStream
 from tests.support.loopback import (
     Discovery,
@@ -387,9 +387,9 @@
             self.pauses.append(blocked)
 
     client, first, second = Peer(), Peer(), Peer()
-    budget = ByteBudget(4 * MAX_BUFFERED_REQUEST_BYTES)
-    assert budget.reserve(MAX_BUFFERED_REQUEST_BYTES + 1)
-    upload = RequestBodyStream(client, budget, b"a" * (MAX_BUFFERED_REQUEST_BYTES + 1), chunked=False)
+    memory = MemoryAccount(4 * MAX_BUFFERED_REQUEST_BYTES)
+    assert memory.reserve(MemoryUse.REQUESTS, MAX_BUFFERED_REQUEST_BYTES + 1)
+    upload = RequestBodyStream(client, memory, b"a" * (MAX_BUFFERED_REQUEST_BYTES + 1), chunked=False)
     upload.feed(b"b")
     assert client.pauses == [True]  # No sink is attached yet.
     upload.attach(first)
@@ -399,17 +399,17 @@
     upload.attach(second)
     assert second.received == first.received
     upload.feed(b"c" * MAX_BUFFERED_REQUEST_BYTES)  # More than the limit for retries.
-    assert not upload.can_restart() and budget.used == 0
+    assert not upload.can_restart() and memory.used == 0
     late = Peer()
-    small_budget = ByteBudget(MAX_BUFFERED_REQUEST_BYTES + 1)
-    assert small_budget.reserve(MAX_BUFFERED_REQUEST_BYTES + 1)
-    waiting = RequestBodyStream(client, small_budget, b"a" * (MAX_BUFFERED_REQUEST_BYTES + 1), chunked=False)
-    waiting.feed(b"b" * MAX_BUFFERED_REQUEST_BYTES)  # Over the budget, and no sink is attached.
+    small_memory = MemoryAccount(MAX_BUFFERED_REQUEST_BYTES + 1)
+    assert small_memory.reserve(MemoryUse.REQUESTS, MAX_BUFFERED_REQUEST_BYTES + 1)
+    waiting = RequestBodyStream(client, small_memory, b"a" * (MAX_BUFFERED_REQUEST_BYTES + 1), chunked=False)
+    waiting.feed(b"b" * MAX_BUFFERED_REQUEST_BYTES)  # Over the limit, and no sink is attached.
     assert waiting.can_restart() and client.pauses[-1] is True
     waiting.attach(late)
     assert len(late.received) == 2 * MAX_BUFFERED_REQUEST_BYTES + 1
     waiting.feed(b"c")
-    assert not waiting.can_restart() and late.received.endswith(b"bc") and small_budget.used == 0
+    assert not waiting.can_restart() and late.received.endswith(b"bc") and small_memory.used == 0
     upload.detach(first)  # A sink that is not attached any more.
     upload.finish()
     assert second.ended and len(second.received) == 2 * MAX_BUFFERED_REQUEST_BYTES + 2 and not first.ended
