A silence no longer ends a response that may be long; a hedged request starts beside it

Cause: MAX_SILENCE_S (0.3 s) holds until a response is forwarded, and it was forwarded only once body bytes had come, 16 KiB of them without a length. The timer measured 'no bytes for a while' and concluded 'it will never end'.

A response whose length is over 64 KiB is now forwarded from its head on. One without a length goes on after a silence: the new event AttemptStalled lets the balancer start one hedged request where class and settings allow two attempts (never for an unsafe class), and whichever is served first wins. A response that the client has in part is not ended by a silence before its deadline. Short responses fail after 0.3 s as before, and so does a response with a chunk of over 33 MiB, which the parser alone let look like a pause.

The price: without second copies, a response without a length that never ends is waited for up to the deadline and not tried again, since ending it could cut off a sound one.

--- a/heronreel/balancer/choice.py
+++ b/heronreel/balancer/choice.py
@@ -60,23 +60,31 @@
                 self._request_arrived(now_ms, event)
             case api.AttemptEnded():
                 self._attempt_ended(now_ms, event)
+            case api.AttemptStalled():
+                self._attempt_stalled(now_ms, event)
             case api.TimerFired():
                 self._timer_fired(now_ms, event.token)
             case api.RequestClosed():
                 self.requests.pop(event.request, None)
+            case _:
+                self._handle_general(now_ms, event)
+        return self.actions
+
+    def _handle_general(self, now: float, event: api.Event) -> None:
+        """Process an event that does not concern a single request."""
+        match event:
             case api.BackendList():
-                self._list_received(now_ms, event)
+                self._list_received(now, event)
             case api.BeginMaintenance():
                 self.endpoints.begin_maintenance(event)
                 self.turns.rebuild()
             case api.EndMaintenance():
-                if self.endpoints.end_maintenance(now_ms, event, self.turns.mean_cost_ms):
+                if self.endpoints.end_maintenance(now, event, self.turns.mean_cost_ms):
                     self.turns.rebuild()
             case api.NewSettings():
                 self._configure(event.settings)
                 self.endpoints.configure(event.settings)
                 self.turns.rebuild()
-        return self.actions
 
     def _timer_fired(self, now: float, token: int) -> None:
         if token == UPDATE_TIMER:
@@ -144,9 +152,17 @@
         if request and not ended.finished:
             request.last_outcome = ended.outcome
             # Another attempt that is in flight may still be served.
-            if not any(other.in_flight for other in request.attempts):
+            if any(other.in_flight for other in request.attempts):
+                self._hedge_stalled(now, request)
+            else:
                 self._advance(now, request)
 
+    def _attempt_stalled(self, now: float, stalled: api.AttemptStalled) -> None:
+        request = self.requests.get(stalled.request)
+        if request is not None:
+            request.attempts[stalled.attempt].stalled = True
+            self._hedge_stalled(now, request)
+
     def _observe(self, now: float, attempt: Attempt, ended: api.AttemptEnded) -> None:
         """Update the failures and the speed of a backend from the end of an attempt."""
         backend, outcome = attempt.backend, ended.outcome
@@ -201,6 +217,20 @@
         if backend is not None:
             self._send(now, request, backend, first)
 
+    def _hedge_stalled(self, now: float, request: Request) -> None:
+        """Send a hedged request if the only attempt in flight has stalled."""
+        in_flight = [attempt for attempt in request.attempts if attempt.in_flight]
+        policy, first = request.policy, next(attempt for attempt in request.attempts if attempt.may_have_run)
+        if len(in_flight) != 1 or not in_flight[0].stalled:
+            return
+        if not self.settings.hedging or (policy and not policy.hedges()):
+            return
+        if not self.retries.allow(now, request, first):
+            return
+        backend = self._choose_repeat(now, request, first, bool(policy and policy.hedge_in_group))
+        if backend is not None:
+            self._send(now, request, backend, first)
+
     def _choose(self, now: float, request: Request, executed: Attempt | None) -> Backend | None:
         if executed is not None:
             in_group = bool(request.policy and request.policy.retry_in_group)
--- a/heronreel/balancer/interface.py
+++ b/heronreel/balancer/interface.py
@@ -7,6 +7,7 @@
 * exactly one `AttemptEnded` for every `StartAttempt`, even if the request has already ended;
 * a `TimerFired` for every `SetTimer`, at or after its time;
 * a `BackendList` of kind CACHED before any other event;
+* optionally an `AttemptStalled` for an attempt whose response stops half-way;
 * `RequestClosed` when a client disconnects or its request gets a final response without the balancer.
 
 A request ends with `Reject`, `Fail`, `RequestClosed` or an `AttemptEnded` whose `finished` is set.
@@ -176,6 +177,10 @@
         if self.max_attempts < 1:
             raise InvalidSettingsError("max_attempts: at least one attempt is needed")
 
+    def hedges(self) -> bool:
+        """Return whether the route allows hedged requests."""
+        return self.hedge_after_ms > 0.0 or self.hedge_percentile > 0.0
+
     def backoff_before(self, attempt: int) -> float:
         """Return the backoff in ms before attempt 1, 2, ...; it is 0 before attempt 0, the first."""
         return exponential_backoff(attempt, self.backoff_ms, self.max_backoff_ms)
@@ -355,6 +360,17 @@
     load: Mapping[str, float] | None = None  # The backend's own load report, which is late and noisy.
 
 
+@dataclass(slots=True)
+class AttemptStalled:
+    """A response has begun and brings no more bytes, but its attempt goes on and may still be served.
+
+    The host may report the same attempt again while the silence lasts.
+    """
+
+    request: int
+    attempt: int
+
+
 @dataclass(slots=True)
 class RequestClosed:
     """The client disconnected, or its request got a final response without the balancer."""
@@ -402,6 +418,7 @@
     | Arrival
     | StreamStarted
     | AttemptEnded
+    | AttemptStalled
     | RequestClosed
     | TimerFired
     | ProbeEnded
--- a/heronreel/balancer/pools.py
+++ b/heronreel/balancer/pools.py
@@ -27,6 +27,10 @@
     has_ended: bool = False
     may_have_run: bool = False
 
+    def pool_of(self, attempt: int) -> tuple[str, int]:
+        """Return the pool of an attempt, and the number of attempts sent before those to this pool."""
+        return next(tried for tried in reversed(self.pools) if tried[1] <= attempt)
+
 
 def _hash(text: str) -> int:
     """Return a 64-bit hash of a text; it is the same in all processes."""
@@ -65,23 +69,31 @@
                 self._request_arrived(now_ms, event)
             case api.AttemptEnded():
                 self._attempt_ended(now_ms, event)
+            case api.AttemptStalled():
+                self._attempt_stalled(now_ms, event)
             case api.TimerFired():
                 pool, balancer, token = self.timers.pop(event.token)
                 # The pool may have been removed, or removed and added again, since the timer was set.
                 if self.balancers.get(pool) is balancer:
                     self._forward(now_ms, pool, api.TimerFired(token))
-            case api.BackendList():
-                self._list_received(now_ms, event)
-            case api.NewSettings():
-                self._new_settings(now_ms, event)
             case api.RequestClosed():
                 self._request_closed(now_ms, event)
+            case _:
+                self._handle_general(now_ms, event)
+        return self.actions
+
+    def _handle_general(self, now: float, event: api.Event) -> None:
+        """Process an event that does not concern a single request."""
+        match event:
+            case api.BackendList():
+                self._list_received(now, event)
+            case api.NewSettings():
+                self._new_settings(now, event)
             case api.BeginMaintenance() | api.EndMaintenance():
                 for name in self.balancers:  # A pool without this backend is not affected.
-                    self._forward(now_ms, name, event)
+                    self._forward(now, name, event)
             case _:
                 raise UnexpectedEventError(f"pools do not support the event {event!r}")
-        return self.actions
 
     def _new_settings(self, now: float, event: api.NewSettings) -> None:
         self.settings = event.settings
@@ -188,9 +200,15 @@
         self._forward(now, pool, replace(request.arrival, time_left_ms=time_left_ms, policy=policy))
         return True
 
+    def _attempt_stalled(self, now: float, stalled: api.AttemptStalled) -> None:
+        request = self.requests.get(stalled.request)
+        if request is not None and not request.has_ended:
+            pool, sent_before = request.pool_of(stalled.attempt)
+            self._forward(now, pool, replace(stalled, attempt=stalled.attempt - sent_before))
+
     def _attempt_ended(self, now: float, ended: api.AttemptEnded) -> None:
         request = self.requests[ended.request]
-        pool, sent_before = next(tried for tried in reversed(request.pools) if tried[1] <= ended.attempt)
+        pool, sent_before = request.pool_of(ended.attempt)
         request.in_flight -= 1
         request.may_have_run |= ended.outcome not in api.NEVER_RAN
         if ended.finished and not request.has_ended:
--- a/heronreel/balancer/requests.py
+++ b/heronreel/balancer/requests.py
@@ -25,6 +25,7 @@
     timeout_ms: float = 0.0  # 0: the attempt may last until the request's deadline.
     may_have_run: bool = True  # True until the outcome proves that the request did not run.
     in_flight: bool = True
+    stalled: bool = False  # Its response has stopped half-way.
 
 
 @dataclass(slots=True)
--- a/heronreel/proxy/backend_connection.py
+++ b/heronreel/proxy/backend_connection.py
@@ -16,6 +16,7 @@
 import httptools
 
 from heronreel.balancer.interface import Outcome
+from heronreel.proxy.chunk_sizes import ChunkSizeCheck
 from heronreel.proxy.delivery_monitor import DeliveryMonitor
 from heronreel.proxy.errors import NoMemoryError, UnreadableMessageError
 from heronreel.proxy.event_log import FailureReason
@@ -39,7 +40,7 @@
     RequestBodyStream,
 )
 
-# A backend that sends nothing for this long in the middle of a response is not expected to finish it.
+# A backend that sends nothing for this long in the middle of a short response is not expected to finish it.
 MAX_SILENCE_S = 0.3
 # The same limit for a response that the client has received in part, where an early reset gains nothing.
 MAX_STREAM_SILENCE_S = 2.5
@@ -79,6 +80,9 @@
     def is_abandoned(self, attempt: Attempt) -> bool:
         """Return whether the client of an attempt that is about to be sent has disconnected."""
 
+    def attempt_stalled(self, attempt: Attempt) -> None:
+        """Handle that a response brings no more bytes at present, while its attempt goes on."""
+
     def response_streaming(
         self, attempt: Attempt, connection: BackendConnection, start: Response, length: int | None
     ) -> ResponseBodySink | None:
@@ -173,10 +177,10 @@
     """One connection to a backend, which carries one attempt at a time."""
 
     __slots__ = (
-        "abandoned", "address", "attempt", "backend", "body_parts", "complete", "declared_length", "delivery",
-        "ends_with_connection", "has_unsent_bytes", "headers", "idle_since", "keep_alive", "parser", "pool",
-        "reading_pause", "received_bytes", "reserved_bytes", "responded_at", "section_bytes", "silence_timer",
-        "sink", "status", "transport",
+        "abandoned", "address", "attempt", "backend", "body_parts", "chunk_sizes", "complete",
+        "declared_length", "delivery", "ends_with_connection", "has_unsent_bytes", "headers", "heads_in_read",
+        "idle_since", "keep_alive", "parser", "pool", "reading_pause", "received_bytes", "reserved_bytes",
+        "responded_at", "section_bytes", "silence_timer", "sink", "status", "transport",
     )  # fmt: skip
 
     def __init__(self, pool: ConnectionOwner, backend: Backend) -> None:
@@ -201,6 +205,9 @@
         # While reading is paused, missing input is no sign of a stalled backend.
         self.reading_pause: ReadingPause
         self.delivery: DeliveryMonitor  # Of requests whose bodies are forwarded.
+        # Checks a chunked response until it is forwarded; None for other responses.
+        self.chunk_sizes: ChunkSizeCheck | None = ChunkSizeCheck()
+        self.heads_in_read = 0  # Heads that the bytes read last have completed.
         self.complete = False  # The last byte of the response was read.
         self.ends_with_connection = False  # The response ends when the backend closes the connection.
         self.keep_alive = False
@@ -231,6 +238,7 @@
         """Write the request of an attempt."""
         self.attempt, attempt.connection = attempt, self
         self.received_bytes, self.section_bytes, self.status, self.complete = 0, 0, 0, False
+        self.chunk_sizes = ChunkSizeCheck()
         request, transport = attempt.request, self.transport
         remaining_ms = (attempt.ends_at - now) * 1000.0
         if request.upload:
@@ -343,8 +351,11 @@
 
     def _parse(self, data: bytes) -> FailureReason | None:
         """Parse received bytes; return why the response is not usable, or None."""
+        had_head, self.heads_in_read = self.status >= 200, 0
         try:
             self.parser.feed_data(data)
+            if not self._has_allowed_chunks(data, had_head):
+                return FailureReason.TOO_LONG
         except httptools.HttpParserCallbackError as error:
             no_memory = isinstance(error.__context__, NoMemoryError)
             return FailureReason.NO_MEMORY if no_memory else FailureReason.MALFORMED
@@ -352,6 +363,17 @@
             return FailureReason.MALFORMED
         return None
 
+    def _has_allowed_chunks(self, data: bytes, had_head: bool) -> bool:
+        check = self.chunk_sizes
+        if check is None or self.sink is not None or self.complete:
+            return True
+        if had_head:
+            return check.allows(data)
+        if self.status >= 200:
+            return check.begin(data, self.heads_in_read)
+        check.note_head(data)
+        return True
+
     def _max_received_bytes(self) -> int:
         return MAX_RAW_BYTES + MAX_FRAMING_FACTOR * self.section_bytes if self.status else MAX_HEAD_BYTES
 
@@ -359,12 +381,17 @@
         """Return whether the response has to be streamed and streaming has not started yet."""
         if self.sink is not None or self.attempt is None or self.attempt.ended:
             return False
-        if self.status < 200 or not self._is_served(self.status) or not self.body_parts:
+        if self.status < 200 or not self._is_served(self.status):
             return False
         if self.declared_length is None:
             return self.section_bytes > MAX_BUFFERED_UNSIZED_RESPONSE_BYTES
+        # Its length alone tells that the response is long, also before the body begins.
         return self.declared_length > MAX_BUFFERED_RESPONSE_BYTES
 
+    def _may_become_long(self) -> bool:
+        """Return whether the head leaves open whether the response is a long one."""
+        return self.status >= 200 and self._is_served(self.status) and self.declared_length is None
+
     def start_streaming(self) -> bool:
         """Start forwarding a long response to the client.
 
@@ -390,20 +417,32 @@
         return True
 
     def _check_silence(self, received_bytes: int) -> None:
-        """Fail a response that stops half-way while its connection stays open.
+        """Handle a response that stops half-way while its connection stays open.
 
-        Possible causes are a Content-Length that is too large, and a head or a chunk that never ends.  A
-        backend that pauses for too long while it writes a response fails as well.
+        Possible causes are a Content-Length that is too large, a head or a chunk that never ends, and a
+        backend that pauses while it writes the response.  A short response fails.  A response that may be
+        long can't be told from one that its backend still completes: it goes on, beside another attempt if
+        the balancer starts one.  A response that the client has in part fails, but not before its deadline.
         """
         self.silence_timer = None
-        if self.attempt is None:
+        attempt = self.attempt
+        if attempt is None:
             return
         if self.received_bytes == received_bytes and not self.reading_pause.is_paused():
-            self._fail_response(FailureReason.SILENT)
-        else:
+            if self._has_failed_by_silence(attempt):
+                self._fail_response(FailureReason.SILENT)
+                return
+            if self.sink is None:
+                self.pool.observer.attempt_stalled(attempt)
+        if self.attempt is attempt:
             delay_s = MAX_STREAM_SILENCE_S if self.sink else MAX_SILENCE_S
             self.silence_timer = self.pool.loop.call_later(delay_s, self._check_silence, self.received_bytes)
 
+    def _has_failed_by_silence(self, attempt: Attempt) -> bool:
+        if self.sink is not None:
+            return time.monotonic() >= attempt.ends_at
+        return not self._may_become_long()
+
     def on_message_begin(self) -> None:
         """Handle the start of a message (parser callback)."""
         if self.complete:
@@ -423,11 +462,14 @@
     def on_headers_complete(self) -> None:
         """Check the framing, on which the reuse of the connection depends (parser callback)."""
         self.status = self.parser.get_status_code()
+        self.heads_in_read += 1
         self.keep_alive = self.parser.should_keep_alive()
         self.section_bytes = 0
         if self.status < 200:
             return
         self.declared_length, self.ends_with_connection = read_framing(self.status, self.headers)
+        if self.declared_length is not None or self.ends_with_connection:
+            self.chunk_sizes = None
 
     def on_body(self, data: bytes) -> None:
         """Buffer or forward the next part of the body (parser callback)."""
--- a/heronreel/proxy/dispatcher.py
+++ b/heronreel/proxy/dispatcher.py
@@ -457,6 +457,20 @@
         self.dispatch(self._ended_event(request, attempt, outcome, request.finished))
         self.registry.remove_if_unused(backend)
 
+    def attempt_stalled(self, attempt: Attempt) -> None:
+        """Let the balancer start another attempt beside one whose response brings no more bytes."""
+        request = cast(Request, attempt.request)
+        if request.finished:
+            return
+        record(
+            EventKind.ATTEMPT_STALLED,
+            request.request_id,
+            attempt=attempt.number,
+            backend=attempt.backend.name,
+            after_ms=round((time.monotonic() - attempt.started_at) * 1000.0, 1),
+        )
+        self.dispatch(api.AttemptStalled(request.number, attempt.number))
+
     def _record_failed_attempt(self, request: Request, attempt: Attempt, outcome: api.Outcome) -> None:
         reason = {"reason": attempt.failure} if attempt.failure else {}
         record(
--- a/heronreel/proxy/event_log.py
+++ b/heronreel/proxy/event_log.py
@@ -36,6 +36,8 @@
     REQUEST_FAILED = "request failed"
     # An attempt ended without a usable response.
     ATTEMPT_ENDED = "attempt ended"
+    # A response that may be long brings no more bytes; its attempt goes on.
+    ATTEMPT_STALLED = "attempt stalled"
     # A retry or a hedged request was started.
     ATTEMPT_REPEATED = "attempt repeated"
     ACCEPT_FAILED = "accept failed"
--- a/tests/proxy/test_late_bodies.py
+++ b/tests/proxy/test_late_bodies.py
@@ -12,7 +12,19 @@
 
 import pytest
 
-from tests.support.loopback import Listener, proxy_with_backend, read_request, request, run
+from tests.support.loopback import (
+    Backend,
+    Discovery,
+    Listener,
+    configuration,
+    entry,
+    ok,
+    proxy_with_backend,
+    read_request,
+    request,
+    run,
+    running_proxy,
+)
 
 BODY = bytes(range(256)) * 500
 PAUSE_S = 0.9
@@ -98,3 +110,26 @@
 @pytest.mark.parametrize("framing", FRAMINGS)
 def test_a_long_response_that_pauses_after_its_first_bytes_is_served(tmp_path: Path, framing: str) -> None:
     run(assert_served(tmp_path, PausingBackend(framing, 5000, PAUSE_S), "save"))
+
+
+@pytest.mark.parametrize("klass", ["save", "read"])
+def test_a_response_that_never_ends_is_replaced_by_that_of_a_hedged_request(
+    tmp_path: Path, klass: str
+) -> None:
+    unended = [b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n"]
+
+    def reply(head: dict[str, str], body: bytes) -> bytes:
+        return unended.pop() if unended else ok(b"whole")
+
+    async def scenario() -> None:
+        async with Backend(reply) as first, Backend(reply) as second:
+            known = [entry("b1", first.address), entry("b2", second.address)]
+            async with Discovery(*known) as discovery:
+                config = configuration(discovery.address, *known)
+                limits = config["settings"]["Limits"] | {"SecondCopies": True}
+                config["settings"] = config["settings"] | {"Limits": limits}
+                async with running_proxy(tmp_path, config) as proxy:
+                    assert await proxy.send_request("a1", klass) == ("200", b"whole")
+                    assert len(first.seen) == len(second.seen) == 1
+
+    run(scenario())
