A connection reads at most 64 KiB at a time, and forwarded bodies are counted with their buffers

Uploads of 8 MB at full speed to backends that take 64 kB a second drove a process with memory_mb 64 to 77.7 MB: each read brought up to 256 KiB, all of it went into the write buffer of the backend's connection, and no account knew of it.

All connections now read into one buffer of 64 KiB, so that the receiver slows the sender down sooner, and a forwarded request body reserves one read and a head beside what is kept for a retry; without memory for it the request gets 503. What one read brings of a body is forwarded in one piece, where each chunk of one byte made an object in the write buffer. A response stream reserves 112 KiB in place of 448 KiB.

--- a/bench/long_bodies.py
+++ b/bench/long_bodies.py
@@ -106,7 +106,7 @@
             while b"listening" not in (line := await proxy.stderr.readline()):
                 if not line:
                     raise SystemExit("long_bodies: the proxy did not start")
-            proxy_address = ("127.0.0.1", int(line.rsplit(b":", 1)[1]))
+            proxy_address = ("127.0.0.1", int(line.rsplit(b":", 1)[1].partition(b'"')[0]))
             idle = memory_mb(proxy.pid, "VmRSS:")
             for up, name in ((True, "up"), (False, "down")):
                 rates = [(await transfer_rate((host, port), up, size, streams),
--- a/heronreel/proxy/acceptor.py
+++ b/heronreel/proxy/acceptor.py
@@ -52,7 +52,7 @@
         self,
         loop: asyncio.AbstractEventLoop,
         listener: socket.socket,
-        make_protocol: Callable[[], asyncio.Protocol],
+        make_protocol: Callable[[], asyncio.BaseProtocol],
     ) -> None:
         """Start to accept on a listening socket, which this object closes."""
         self.loop = loop
--- a/heronreel/proxy/backend_connection.py
+++ b/heronreel/proxy/backend_connection.py
@@ -28,6 +28,7 @@
     end_to_end_lines,
 )
 from heronreel.proxy.memory_account import MemoryAccount, MemoryUse
+from heronreel.proxy.read_buffer import ReadingProtocol
 from heronreel.proxy.reading_pause import PauseReason, ReadingPause
 from heronreel.proxy.response import Response, ResponseBodySink, read_framing
 from heronreel.proxy.reuse_delay import ReuseDelay
@@ -173,14 +174,14 @@
     failure: FailureReason | None = None
 
 
-class BackendConnection(asyncio.Protocol):
+class BackendConnection(ReadingProtocol):
     """One connection to a backend, which carries one attempt at a time."""
 
     __slots__ = (
         "abandoned", "address", "attempt", "backend", "body_parts", "chunk_sizes", "complete",
         "declared_length", "delivery", "ends_with_connection", "has_unsent_bytes", "headers", "heads_in_read",
         "idle_since", "keep_alive", "parser", "pool", "reading_pause", "received_bytes", "reserved_bytes",
-        "responded_at", "section_bytes", "silence_timer", "sink", "status", "transport",
+        "responded_at", "section_bytes", "silence_timer", "sink", "status", "stream_parts", "transport",
     )  # fmt: skip
 
     def __init__(self, pool: ConnectionOwner, backend: Backend) -> None:
@@ -202,6 +203,7 @@
         self.declared_length: int | None = None  # The Content-Length, if the head has one.
         # Receives a response that is forwarded while it is being received.
         self.sink: ResponseBodySink | None = None
+        self.stream_parts: list[bytes] = []  # Parts of it that the read in progress has brought.
         # While reading is paused, missing input is no sign of a stalled backend.
         self.reading_pause: ReadingPause
         self.delivery: DeliveryMonitor  # Of requests whose bodies are forwarded.
@@ -335,6 +337,7 @@
             return
         self.received_bytes += len(data)
         failure = self._parse(data)
+        self._forward_stream_parts()
         if self.complete:
             self._finish_response(self.keep_alive and failure is None)
         elif failure:
@@ -349,6 +352,12 @@
                 MAX_SILENCE_S, self._check_silence, self.received_bytes
             )
 
+    def _forward_stream_parts(self) -> None:
+        """Forward what one read has brought in one piece, however many chunks it has."""
+        parts, self.stream_parts = self.stream_parts, []
+        if parts and self.sink is not None:
+            self.sink.write_body(b"".join(parts))
+
     def _parse(self, data: bytes) -> FailureReason | None:
         """Parse received bytes; return why the response is not usable, or None."""
         had_head, self.heads_in_read = self.status >= 200, 0
@@ -482,7 +491,7 @@
                 raise UnreadableMessageError  # Reading such a long body costs more than a new connection.
             return  # The body is read and dropped.
         if self.sink is not None:
-            self.sink.write_body(data)
+            self.stream_parts.append(data)
             return
         if not self.pool.observer.memory.reserve(MemoryUse.RESPONSES, len(data)):
             raise NoMemoryError  # As with a malformed response, the request may have run.
--- a/heronreel/proxy/client_connection.py
+++ b/heronreel/proxy/client_connection.py
@@ -58,6 +58,7 @@
 from heronreel.proxy.streams import (
     MAX_BODY_BYTES,
     MAX_BUFFERED_REQUEST_BYTES,
+    UPLOAD_BUFFER_BYTES,
     RequestBodyStream,
 )
 
@@ -68,6 +69,7 @@
     __slots__ = (
         "admitted", "body", "body_blocked_at", "body_bytes", "declared_length", "error_reason",
         "error_status", "head", "header_bytes", "headers", "parser", "requests_read", "target",
+        "upload_parts",
     )  # fmt: skip
 
     def __init__(self, listener: ConnectionRegistry[ClientConnection]) -> None:
@@ -76,6 +78,7 @@
         self.target = b""
         self.headers: Headers = []
         self.body: bytes | bytearray = b""
+        self.upload_parts: list[bytes] = []  # parts of a forwarded body that the read in progress has brought
         # Head of the request being read; None if the proxy responds to it without a backend.
         self.head: RequestHead | None = None
         # Status of the response to the request being read, if the proxy responds without a backend; else 0.
@@ -135,6 +138,8 @@
         except httptools.HttpParserError:
             self._on_parse_error()
             return
+        finally:
+            self._forward_upload_parts()
         if self.progress_bytes > MAX_HEAD_BYTES and self.phase is Phase.HEAD:
             self._reject(431, RefusalReason.INVALID)
         elif (
@@ -271,7 +276,7 @@
         if self.error_status:
             return
         if self.upload:
-            self.upload.feed(data)
+            self.upload_parts.append(data)
             return
         self._buffer_body(data)
         # If there was no memory for the body, its first bytes are lost and the rest must not be forwarded.
@@ -280,6 +285,12 @@
         ):
             self._start_upload()
 
+    def _forward_upload_parts(self) -> None:
+        """Forward what one read has brought of a body in one piece, however many chunks it has."""
+        parts, self.upload_parts = self.upload_parts, []
+        if parts and self.upload:
+            self.upload.feed(b"".join(parts))
+
     def _extend_due_time(self) -> None:
         """Extend the deadline of a large body while it arrives at the minimum rate."""
         now = time.monotonic()
@@ -317,6 +328,10 @@
             if not admitting:
                 self.error_reason = RefusalReason.DRAINING
             return
+        if not self.memory.reserve(MemoryUse.REQUESTS, UPLOAD_BUFFER_BYTES, LARGE_BODY_MEMORY_RATIO):
+            self._release_body()
+            self.error_status, self.error_reason = 503, RefusalReason.NO_MEMORY
+            return
         body, self.body = bytes(self.body), b""
         if self.declared_length:
             head.encoded_head += b"content-length: %d\r\n" % self.declared_length
@@ -324,7 +339,7 @@
             head.encoded_head += b"transfer-encoding: chunked\r\n"
         self.is_http10 = head.is_http10
         self.upload = RequestBodyStream(self, self.memory, body, not self.declared_length)
-        request = dispatcher.submit(self, head, b"", self.upload)
+        request = dispatcher.submit(self, head, b"", self.upload, UPLOAD_BUFFER_BYTES)
         if request.finished:
             raise UnreadableMessageError
         self.request = request
@@ -372,6 +387,7 @@
         self.reading_pause.add(PauseReason.REQUESTS_WAITING)
 
     def _finish_upload(self, upload: RequestBodyStream) -> None:
+        self._forward_upload_parts()
         self.upload, self.head = None, None
         upload.finish()
         if self.request:
--- a/heronreel/proxy/client_writer.py
+++ b/heronreel/proxy/client_writer.py
@@ -25,6 +25,7 @@
 from heronreel.proxy.delivery_monitor import DeliveryMonitor
 from heronreel.proxy.event_log import CloseReason, EventKind, record
 from heronreel.proxy.http1 import response_head
+from heronreel.proxy.read_buffer import ReadingProtocol
 from heronreel.proxy.reading_pause import PauseReason, ReadingPause
 from heronreel.proxy.request import Request
 from heronreel.proxy.response import Response, ResponseBodySink
@@ -32,7 +33,7 @@
 from heronreel.proxy.streams import LAST_CHUNK, RequestBodyStream, encode_chunk
 
 
-class ClientWriter(asyncio.Protocol):
+class ClientWriter(ReadingProtocol):
     """Sends responses to a client; `ClientConnection` adds the reading side."""
 
     __slots__ = (
--- a/heronreel/proxy/dispatcher.py
+++ b/heronreel/proxy/dispatcher.py
@@ -243,10 +243,12 @@
         head: RequestHead,
         body: bytes | bytearray,
         upload: RequestBodyStream | None = None,
+        reserved_bytes: int = 0,
     ) -> Request:
         """Accept a request, which gets exactly one final response.
 
-        The request is complete, or has an `upload` whose body is still being received.
+        The request is complete, or has an `upload` whose body is still being received.  When the request is
+        finished, `reserved_bytes` of memory are released, and the bytes of the body.
         """
         now = time.monotonic()
         timeout_ms = head.timeout_ms
@@ -271,6 +273,7 @@
             deadline,
             request_id=head.request_id,
             upload=upload,
+            reserved_bytes=reserved_bytes,
         )
         self.requests[request.number] = request
         if request.request_id:
@@ -387,7 +390,8 @@
     def _mark_finished(self, request: Request) -> None:
         """Mark a request as finished and release the data that a retry would need."""
         request.finished, request.client = True, None
-        self.memory.release(MemoryUse.REQUESTS, len(request.body))
+        self.memory.release(MemoryUse.REQUESTS, len(request.body) + request.reserved_bytes)
+        request.reserved_bytes = 0
         request.head = request.body = b""
         if request.upload:
             request.upload.drop_buffer()
--- a/heronreel/proxy/request.py
+++ b/heronreel/proxy/request.py
@@ -91,6 +91,7 @@
         finished: Whether nothing more is sent to the client.
         request_id: The client's X-Request-Id.
         upload: Replaces `body` if the body is forwarded while it is being received.
+        reserved_bytes: The memory that is held for the request, beside its body.
         streaming: The attempt whose response is forwarded to the client while it is being received.
     """
 
@@ -107,3 +108,4 @@
     request_id: bytes = b""
     upload: RequestBodyStream | None = None
     streaming: Attempt | None = None
+    reserved_bytes: int = 0
--- a/heronreel/proxy/streams.py
+++ b/heronreel/proxy/streams.py
@@ -12,7 +12,9 @@
 import time
 from typing import Protocol
 
+from heronreel.proxy.http1 import MAX_HEAD_BYTES
 from heronreel.proxy.memory_account import MemoryAccount, MemoryUse
+from heronreel.proxy.read_buffer import MAX_READ_BYTES
 
 # A longer request body is forwarded while it is being received.
 MAX_BUFFERED_REQUEST_BYTES = 512 << 10
@@ -22,8 +24,10 @@
 MAX_BUFFERED_RESPONSE_BYTES = 64 << 10
 # The same limit for a response without a Content-Length.
 MAX_BUFFERED_UNSIZED_RESPONSE_BYTES = 16 << 10
-# The memory reserved for one response stream; a stream buffers up to 402 KiB (bench/long_bodies.py).
-MAX_STREAM_BUFFER_BYTES = 448 << 10
+# The memory of one response stream: what was buffered before it began, one read, and the heads of both sides.
+MAX_STREAM_BUFFER_BYTES = MAX_BUFFERED_UNSIZED_RESPONSE_BYTES + MAX_READ_BYTES + 2 * MAX_HEAD_BYTES
+# The memory of one forwarded request body, beside what is kept for a retry: one read and the head.
+UPLOAD_BUFFER_BYTES = MAX_READ_BYTES + MAX_HEAD_BYTES
 
 # The longest time for which a body that is being forwarded may have no backend's connection.
 MAX_TIME_WITHOUT_SINK_S = 10.0
@@ -75,14 +79,18 @@
     def __init__(self, source: PausableSource, memory: MemoryAccount, start: bytes, chunked: bool) -> None:
         self.source: PausableSource | None = source  # None once no more of the body is expected.
         self.memory = memory
-        self.buffer: list[bytes] | None = [start]  # All bytes received; None once a part was dropped.
-        self.buffered_bytes = len(start)  # The caller has reserved the bytes of `start`.
         self.chunked = chunked
+        # All parts received, as they are sent; None once a part was dropped.
+        self.buffer: list[bytes] | None = [self._encode(start)]
+        self.buffered_bytes = len(start)  # The caller has reserved the bytes of `start`.
         self.sink: RequestBodySink | None = None
         self.without_sink_since = time.monotonic()
         self.complete = False
         self.timeout_ms = 0.0  # The request's timeout, which starts with the last byte of the body.
 
+    def _encode(self, data: bytes) -> bytes:
+        return encode_chunk(data) if self.chunked else data
+
     def can_restart(self) -> bool:
         """Return whether the body can be sent again from its first byte."""
         return self.buffer is not None
@@ -90,8 +98,8 @@
     def attach(self, sink: RequestBodySink) -> None:
         """Forward the bytes received so far, and all later ones, to this sink."""
         self.sink = sink
-        for data in self.buffer or ():
-            sink.write_body(encode_chunk(data) if self.chunked else data)
+        for part in self.buffer or ():
+            sink.write_body(part)
         self._finish_sink()
         self.update_source()
 
@@ -107,6 +115,7 @@
 
     def feed(self, data: bytes) -> None:
         """Forward received bytes, and buffer them for a retry as long as the limits allow."""
+        part = self._encode(data)
         if self.buffer is not None:
             fits = self.buffered_bytes + len(data) <= 2 * MAX_BUFFERED_REQUEST_BYTES
             fits = fits and self.memory.reserve(MemoryUse.REQUESTS, len(data))
@@ -114,11 +123,11 @@
             # limits.  Reading is paused after them.
             if fits or (self.sink is None and self.memory.reserve(MemoryUse.REQUESTS, len(data), math.inf)):
                 self.buffered_bytes += len(data)
-                self.buffer.append(data)
+                self.buffer.append(part)
             else:
                 self.drop_buffer()  # Limits the memory; the body can't be sent again after this.
         if self.sink is not None:
-            self.sink.write_body(encode_chunk(data) if self.chunked else data)
+            self.sink.write_body(part)
         self.update_source()
 
     def finish(self) -> None:
--- a/heronreel/serve/metered_proxy.py
+++ b/heronreel/serve/metered_proxy.py
@@ -81,7 +81,8 @@
         head: RequestHead,
         body: bytes | bytearray,
         upload: RequestBodyStream | None = None,
+        reserved_bytes: int = 0,
     ) -> Request:
         """Submit a request whose response is counted."""
         tenant = head.tenant if head.tenant in self.tenants else NO_TENANT
-        return super().submit(MeteredClient(self.meter, client, tenant), head, body, upload)
+        return super().submit(MeteredClient(self.meter, client, tenant), head, body, upload, reserved_bytes)
