Heads of requests are counted while they are read and while they wait, and kept compactly

Cause: only bodies were counted. A head was a list of tuples, about 180 bytes for each field however short, kept until its body had come; heads of pipelined requests, up to nine of a read of 256 KiB, were not counted at all.

A request now holds a reservation from its first byte until its response: the bytes of its head, its body and 2 KiB of objects. Fields are kept in one buffer (FieldBuffer), which is emptied when the head is complete; a head is read 16 KiB at a time. Without memory, a complete request gets 503 in its turn, an incomplete one 503 and a close, also behind earlier ones. Requests of over 4 KiB may use 0.85 of the memory, so that the usual ones keep a share.

test_a_long_body_without_memory_... failed once in a parallel run: with reads of 64 KiB the second body could be read while the first was not held yet. It waits until the first body is held now, and asserts the same.

--- a/heronreel/proxy/client_connection.py
+++ b/heronreel/proxy/client_connection.py
@@ -15,15 +15,17 @@
 import httptools
 
 from heronreel.proxy.client_interface import (
-    LARGE_BODY_MEMORY_RATIO,
+    LARGE_REQUEST_MEMORY_RATIO,
     MAX_BODY_PAUSE_S,
     MAX_FRAMING_BYTES,
     MAX_HEADER_FIELDS,
     MAX_LINGER_BYTES,
     MAX_PIPELINED,
     MIN_BODY_BYTES_PER_S,
+    REQUEST_OBJECTS_BYTES,
     REQUEST_TIMEOUT_S,
     SMALL_BODY_BYTES,
+    SMALL_REQUEST_BYTES,
     TOO_MANY_PIPELINED,
     UPLOAD_CHECK_INTERVAL_S,
     ConnectionRegistry,
@@ -34,18 +36,19 @@
 from heronreel.proxy.delivery_monitor import DeliveryMonitor
 from heronreel.proxy.errors import UnreadableMessageError
 from heronreel.proxy.event_log import CloseReason, EventKind, RefusalReason, record
+from heronreel.proxy.field_buffer import FieldBuffer
 from heronreel.proxy.http1 import (
     CONTINUE_RESPONSE,
     DATE_LINE,
     MAX_HEAD_BYTES,
     MAX_TARGET_BYTES,
-    OPTIONAL_WHITESPACE,
     Headers,
     is_host,
     response_head,
     split_absolute_form,
 )
 from heronreel.proxy.memory_account import MemoryUse
+from heronreel.proxy.read_buffer import SHORT_READ_BYTES
 from heronreel.proxy.reading_pause import PauseReason, ReadingPause
 from heronreel.proxy.request import RequestHead
 from heronreel.proxy.request_validation import (
@@ -68,15 +71,16 @@
 
     __slots__ = (
         "admitted", "body", "body_blocked_at", "body_bytes", "declared_length", "error_reason",
-        "error_status", "head", "header_bytes", "headers", "parser", "requests_read", "target",
-        "upload_parts",
+        "error_status", "fields", "head", "header_bytes", "parser", "requests_read", "reserved_bytes",
+        "target", "upload_parts",
     )  # fmt: skip
 
     def __init__(self, listener: ConnectionRegistry[ClientConnection]) -> None:
         super().__init__(listener)
         self.parser = httptools.HttpRequestParser(self)
         self.target = b""
-        self.headers: Headers = []
+        self.fields = FieldBuffer()
+        self.reserved_bytes = 0  # memory for the request being read
         self.body: bytes | bytearray = b""
         self.upload_parts: list[bytes] = []  # parts of a forwarded body that the read in progress has brought
         # Head of the request being read; None if the proxy responds to it without a backend.
@@ -142,10 +146,27 @@
             self._forward_upload_parts()
         if self.progress_bytes > MAX_HEAD_BYTES and self.phase is Phase.HEAD:
             self._reject(431, RefusalReason.INVALID)
-        elif (
-            self.progress_bytes > MAX_HEAD_BYTES + MAX_FRAMING_BYTES
-        ):  # too many trailers or chunk extensions
-            self._reject(400, RefusalReason.INVALID)
+        elif self.progress_bytes > MAX_HEAD_BYTES + MAX_FRAMING_BYTES:
+            self._reject(400, RefusalReason.INVALID)  # too many trailers or chunk extensions
+        elif self.phase is Phase.HEAD and not self._reserve_for_request(
+            min(MAX_HEAD_BYTES, max(self.progress_bytes, len(data)))
+        ):
+            self._reject(503, RefusalReason.NO_MEMORY)
+
+    def expects_much(self) -> bool:
+        """Return whether a long body is being read; a head is at most as long as a short read."""
+        return self.phase is Phase.BODY and max(self.body_bytes, self.declared_length) > SHORT_READ_BYTES
+
+    def _reserve_for_request(self, size: int) -> bool:
+        """Hold `size` bytes of memory in all for the request being read; return whether there is enough."""
+        share = 1.0 if size <= SMALL_REQUEST_BYTES else LARGE_REQUEST_MEMORY_RATIO
+        added = size - self.reserved_bytes
+        if added > 0 and not self.memory.reserve(MemoryUse.REQUESTS, added, share):
+            return False
+        if added < 0:
+            self.memory.release(MemoryUse.REQUESTS, -added)
+        self.reserved_bytes = size
+        return True
 
     def _on_parse_error(self) -> None:
         if self._is_closing():
@@ -166,7 +187,8 @@
         self.listener.idle.pop(self, None)
         if self.started_at == math.inf:  # the first request's timeout starts with the connection
             self.started_at = time.monotonic()
-        self.target, self.headers, self.body = b"", [], b""
+        self.target, self.body = b"", b""
+        self.fields.clear()
         self.head, self.error_status, self.error_reason = None, 0, None
         self.header_bytes, self.body_bytes, self.declared_length = 0, 0, 0
         self.phase = Phase.HEAD
@@ -181,10 +203,10 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Parser callback: add a header field, or count a trailer field, which is dropped."""
         self.header_bytes += len(name) + len(value) + 4
-        if self.header_bytes > MAX_HEAD_BYTES or len(self.headers) >= MAX_HEADER_FIELDS:
+        if self.header_bytes > MAX_HEAD_BYTES or self.fields.count >= MAX_HEADER_FIELDS:
             self._refuse(431)
         if self.phase is Phase.HEAD:
-            self.headers.append((name.lower(), value.rstrip(OPTIONAL_WHITESPACE)))
+            self.fields.add(name, value)
 
     def _refuse(self, status: int, reason: RefusalReason = RefusalReason.INVALID) -> None:
         """Set the status and reason of the response, and end the parsing.
@@ -204,29 +226,45 @@
         version = self.parser.get_http_version()
         if version not in VERSIONS:
             self._refuse(505)  # RFC 9110, 15.6.6; also for HTTP/0.9, which the parser accepts
-        fields = dict(self.headers)
-        if not is_well_framed(self.headers, fields, version):
+        headers = self.fields.take()
+        fields = dict(headers)
+        if not is_well_framed(headers, fields, version):
             self._refuse(400)
         if version == "1.0":
             # RFC 9112, 9.3: a proxy must not keep an HTTP/1.0 connection open.
             self.close_after_response = True
         if absolute := split_absolute_form(self.target):
-            self._apply_authority(*absolute)
+            headers = self._apply_authority(headers, *absolute)
             fields[b"host"] = absolute[0]
         self._check_length(fields.get(b"content-length", b"0"))
         if not self.parser.should_keep_alive():
             self.close_after_response = True
-        self._validate_head(fields, version)
+        self._validate_head(headers, fields, version)
+        self.target = b""
+        self._reserve_for_head()
         if version == "1.1" and fields.get(b"expect", b"").lower() == b"100-continue" and not self.request:
             self._send_continue()
 
-    def _apply_authority(self, authority: bytes, target: bytes) -> None:
+    def _reserve_for_head(self) -> None:
+        """Hold the memory for a complete head and what its request will need, or refuse the request."""
+        if self.head is None:
+            self._release_request()
+        elif not self._reserve_for_request(len(self.head.encoded_head) + REQUEST_OBJECTS_BYTES):
+            self._refuse_for_memory()
+
+    def _refuse_for_memory(self) -> None:
+        """Refuse the request once all of it is read; no part of it was sent to a backend."""
+        self._release_request()
+        if self.head:
+            self.head.encoded_head = b""
+        self.error_status, self.error_reason = 503, RefusalReason.NO_MEMORY
+
+    def _apply_authority(self, headers: Headers, authority: bytes, target: bytes) -> Headers:
         """Replace the Host field by the authority of an absolute target (RFC 9112, 3.2.2)."""
         if not authority or not is_host(authority):
             self._refuse(400)
         self.target = target
-        self.headers = [(name, value) for name, value in self.headers if name != b"host"]
-        self.headers.append((b"host", authority))
+        return [(name, value) for name, value in headers if name != b"host"] + [(b"host", authority)]
 
     def _check_length(self, length: bytes) -> None:
         if not length.isdigit():
@@ -235,14 +273,14 @@
             self._refuse(413)
         self.declared_length = int(length)
 
-    def _validate_head(self, fields: Fields, version: str) -> None:
+    def _validate_head(self, headers: Headers, fields: Fields, version: str) -> None:
         listener = self.listener
         result = read_request_head(
             listener.dispatcher,
             listener.is_ready,
             self.parser.get_method(),
             self.target,
-            self.headers,
+            headers,
             fields,
             version,
         )
@@ -299,11 +337,8 @@
         self.due_at = max(first_due_at, min(now + MAX_BODY_PAUSE_S, at_minimum_rate))
 
     def _buffer_body(self, data: bytes) -> None:
-        share = 1.0 if self.body_bytes <= SMALL_BODY_BYTES else LARGE_BODY_MEMORY_RATIO
-        if not self.admitted or not self.memory.reserve(MemoryUse.REQUESTS, len(data), share):
-            self._release_body()
-            # No part of the request was sent to a backend.  The response is sent once the whole body is read.
-            self.error_status, self.error_reason = 503, RefusalReason.NO_MEMORY
+        if not self.admitted or not self._reserve_for_request(self.reserved_bytes + len(data)):
+            self._refuse_for_memory()
         elif not self.body:
             self.body = data
         else:
@@ -311,9 +346,11 @@
                 self.body = bytearray(self.body)
             self.body += data
 
-    def _release_body(self) -> None:
-        self.memory.release(MemoryUse.REQUESTS, len(self.body))
-        self.body = b""
+    def _release_request(self) -> None:
+        """Release the memory for the request being read."""
+        self.memory.release(MemoryUse.REQUESTS, self.reserved_bytes)
+        self.reserved_bytes, self.body = 0, b""
+        self.fields.clear()
 
     def _start_upload(self) -> None:
         """Forward a body that is too long to be buffered to a backend while it is received."""
@@ -322,24 +359,24 @@
         busy = bool(self.request or self.pipelined)
         admitting = self.listener.is_admitting()
         if busy or head is None or duplicate or not admitting:
-            self._release_body()
+            self._release_request()
             self.error_status = 400 if admitting and not busy else 503
             self.error_reason = RefusalReason.NO_MEMORY if busy else RefusalReason.DUPLICATE_ID
             if not admitting:
                 self.error_reason = RefusalReason.DRAINING
             return
-        if not self.memory.reserve(MemoryUse.REQUESTS, UPLOAD_BUFFER_BYTES, LARGE_BODY_MEMORY_RATIO):
-            self._release_body()
-            self.error_status, self.error_reason = 503, RefusalReason.NO_MEMORY
+        if not self._reserve_for_request(self.reserved_bytes + UPLOAD_BUFFER_BYTES):
+            self._refuse_for_memory()
             return
         body, self.body = bytes(self.body), b""
+        reserved_bytes, self.reserved_bytes = self.reserved_bytes - len(body), 0
         if self.declared_length:
             head.encoded_head += b"content-length: %d\r\n" % self.declared_length
         else:
             head.encoded_head += b"transfer-encoding: chunked\r\n"
         self.is_http10 = head.is_http10
         self.upload = RequestBodyStream(self, self.memory, body, not self.declared_length)
-        request = dispatcher.submit(self, head, b"", self.upload, UPLOAD_BUFFER_BYTES)
+        request = dispatcher.submit(self, head, b"", self.upload, reserved_bytes)
         if request.finished:
             raise UnreadableMessageError
         self.request = request
@@ -368,8 +405,8 @@
             return
         if self.head:
             self.head.read_at = time.monotonic()
-        read = ReadRequest(self.head, self.error_status, self.body, self.error_reason)
-        self.body, self.headers, self.head, self.target = b"", [], None, b""
+        read = ReadRequest(self.head, self.error_status, self.body, self.error_reason, self.reserved_bytes)
+        self.body, self.head, self.reserved_bytes = b"", None, 0
         self.requests_read += 1
         if self.request is None and not self.pipelined:
             if not self.listener.is_closing_connections():
@@ -380,7 +417,7 @@
             self.listener.loop.call_soon(self._serve_pipelined)
         kept = MAX_PIPELINED if self.request else MAX_PIPELINED + 1
         if len(self.pipelined) >= kept:  # refused in its turn, and its body is not kept until then
-            self.memory.release(MemoryUse.REQUESTS, len(read.body))
+            self.memory.release(MemoryUse.REQUESTS, read.reserved_bytes)
             read = TOO_MANY_PIPELINED
         self.pipelined.append(read)
         # One request is served at a time.  The event loop reports no disconnect until reading resumes.
@@ -395,7 +432,7 @@
 
     def _serve(self, read: ReadRequest) -> None:
         dispatcher = self.listener.dispatcher
-        head, status, body, reason = read
+        head, status, body, reason, reserved_bytes = read
         if not self.admitted:
             status, self.close_after_response = status or 503, True
             reason = reason or RefusalReason.TOO_MANY_CONNECTIONS
@@ -405,7 +442,7 @@
         if head and not status and not self.listener.is_admitting():
             status, reason = 503, RefusalReason.DRAINING
         if head is None or status:
-            self.memory.release(MemoryUse.REQUESTS, len(body))
+            self.memory.release(MemoryUse.REQUESTS, reserved_bytes)
             if reason:
                 self._record_refusal(status or 400, reason, head)
             # After an invalid request, no further one of this client is served on the connection.
@@ -417,7 +454,7 @@
         if body or head.is_write:
             head.encoded_head += b"content-length: %d\r\n" % len(body)
         self.is_http10 = head.is_http10
-        request = dispatcher.submit(self, head, body)
+        request = dispatcher.submit(self, head, body, reserved_bytes=reserved_bytes)
         self.request = None if request.finished else request
 
     def _record_refusal(self, status: int, reason: RefusalReason, head: RequestHead | None) -> None:
@@ -427,11 +464,12 @@
     def _reject(self, status: int, reason: RefusalReason) -> None:
         """Reject the request being read and close the connection.
 
-        If responses to previous requests are still due, they are sent and this request gets none.
+        If responses to previous requests are still due, they are sent and an invalid request gets none.
         """
         self._record_refusal(status, reason, self.head)
-        self._release_body()
-        self.target, self.headers, self.head = b"", [], None
+        self._release_request()
+        self.target, self.head = b"", None
+        self.parser = httptools.HttpRequestParser(self)  # releases what it holds of the head
         self.listener.idle.pop(self, None)
         self.phase, self.close_after_response, self.due_at = Phase.CLOSING, True, math.inf
         if self.upload:  # the request can't be completed, so the backend never executes it
@@ -439,7 +477,9 @@
             request, self.request = self.request, None
             if request:
                 self.listener.dispatcher.client_disconnected(request)
-        if self.request is None and not self.pipelined:
+        if reason is RefusalReason.NO_MEMORY and (self.request or self.pipelined):
+            self.pipelined.append(ReadRequest(None, status, b""))
+        elif self.request is None and not self.pipelined:
             self.delivery.write(response_head(status, DATE_LINE.now(), 0, True))
             self._linger()
 
@@ -473,10 +513,10 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Release the connection's memory, and report the disconnect of its request's client."""
         self.listener.remove(self)
-        self._release_body()
+        self._release_request()
         self._end_upload()
         for read in self.pipelined:
-            self.memory.release(MemoryUse.REQUESTS, len(read.body))
+            self.memory.release(MemoryUse.REQUESTS, read.reserved_bytes)
         self.pipelined.clear()
         request, self.request = self.request, None
         if request:
--- a/heronreel/proxy/client_interface.py
+++ b/heronreel/proxy/client_interface.py
@@ -14,8 +14,12 @@
 MAX_HEADER_FIELDS = 100  # in one request
 MAX_FRAMING_BYTES = 256 << 10  # of trailers and chunk extensions in one request
 SMALL_BODY_BYTES = 16 << 10
-# Larger bodies may only use this part of the memory for peers; the rest is left for small ones.
-LARGE_BODY_MEMORY_RATIO = 0.85
+# Objects that the proxy holds for a request until its response, beside its head and body.
+REQUEST_OBJECTS_BYTES = 2 << 10
+# Requests that need more memory than this may only use a part of the memory for peers; the rest is left for
+# the small ones.
+SMALL_REQUEST_BYTES = 4 << 10
+LARGE_REQUEST_MEMORY_RATIO = 0.85
 MAX_PIPELINED = 8  # requests that a client may send ahead of its responses
 MIN_BODY_BYTES_PER_S = 48e3  # lowest rate at which a client may send a large body
 # Longest pause between pieces of a large body; at 64 kB a second they may arrive in large pieces.
@@ -48,12 +52,14 @@
     """A request that was read completely.
 
     If `error_status` is not 0, the proxy responds with that status and sends the request to no backend.
+    `reserved_bytes` of memory are held for the request.
     """
 
     head: RequestHead | None
     error_status: int
     body: bytes | bytearray
     reason: RefusalReason | None = None  # why the request is refused, if it is
+    reserved_bytes: int = 0
 
 
 TOO_MANY_PIPELINED = ReadRequest(None, 429, b"", RefusalReason.TOO_MANY_PIPELINED)
--- a/heronreel/proxy/dispatcher.py
+++ b/heronreel/proxy/dispatcher.py
@@ -248,7 +248,7 @@
         """Accept a request, which gets exactly one final response.
 
         The request is complete, or has an `upload` whose body is still being received.  When the request is
-        finished, `reserved_bytes` of memory are released, and the bytes of the body.
+        finished, `reserved_bytes` of memory are released.
         """
         now = time.monotonic()
         timeout_ms = head.timeout_ms
@@ -390,7 +390,7 @@
     def _mark_finished(self, request: Request) -> None:
         """Mark a request as finished and release the data that a retry would need."""
         request.finished, request.client = True, None
-        self.memory.release(MemoryUse.REQUESTS, len(request.body) + request.reserved_bytes)
+        self.memory.release(MemoryUse.REQUESTS, request.reserved_bytes)
         request.reserved_bytes = 0
         request.head = request.body = b""
         if request.upload:
--- a/heronreel/proxy/read_buffer.py
+++ b/heronreel/proxy/read_buffer.py
@@ -9,8 +9,10 @@
 import asyncio
 
 MAX_READ_BYTES = 64 << 10
+SHORT_READ_BYTES = 16 << 10
 
 _buffer = memoryview(bytearray(MAX_READ_BYTES))
+_short_buffer = _buffer[:SHORT_READ_BYTES]
 
 
 class ReadingProtocol(asyncio.BufferedProtocol):
@@ -20,7 +22,11 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer to read into; the event loop reads and reports each read at once."""
-        return _buffer
+        return _buffer if self.expects_much() else _short_buffer
+
+    def expects_much(self) -> bool:
+        """Return whether up to MAX_READ_BYTES may be read at once, rather than SHORT_READ_BYTES."""
+        return True
 
     def buffer_updated(self, nbytes: int) -> None:
         """Pass on the bytes that were read into the buffer."""
--- a/heronreel/proxy/request.py
+++ b/heronreel/proxy/request.py
@@ -91,7 +91,7 @@
         finished: Whether nothing more is sent to the client.
         request_id: The client's X-Request-Id.
         upload: Replaces `body` if the body is forwarded while it is being received.
-        reserved_bytes: The memory that is held for the request, beside its body.
+        reserved_bytes: The memory that is held for the request.
         streaming: The attempt whose response is forwarded to the client while it is being received.
     """
 
--- a/tests/proxy/test_streams.py
+++ b/tests/proxy/test_streams.py
@@ -170,16 +170,24 @@
 def test_a_long_body_without_memory_for_it_is_rejected_before_any_part_reaches_a_backend(
     tmp_path: Path,
 ) -> None:
+    held_bytes, seen, held = 900_000, list[str](), asyncio.Event()
+
+    async def hold(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        seen.append((await read_head(reader))["x-request-id"])
+        await reader.readexactly(held_bytes)  # The proxy holds them as well, for a retry.
+        held.set()
+        await reader.read()
+
     async def scenario() -> None:
-        backend = DigestBackend()
+        backend = Listener(hold)
         async with proxy_with_backend(tmp_path, backend, memory_mb=30) as proxy:  # Leaves 1 MiB for bodies.
             _, first = await proxy.connect()
-            first.write(request_head("r1", f"Content-Length: {len(LONG)}") + LONG[:900_000])
-            await backend.head_received.wait()
+            first.write(request_head("r1", f"Content-Length: {len(LONG)}") + LONG[:held_bytes])
+            await held.wait()
             reader, writer = await proxy.connect()
             writer.write(request_head("r2", "Content-Length: 2000000") + LONG[:2_000_000])
             assert (await read_response(reader))[0] == "503"
-            assert [head["x-request-id"] for head in backend.heads] == ["r1"]
+            assert seen == ["r1"]
             first.transport.abort()
 
     run(scenario())
