Heads of responses are counted while they are received, and kept compactly

300 backends' responses whose heads of 1,500 short fields never end drove a process with memory_mb 32 and one with 64 to 79.8 MB. Cause: a head of up to 16 KiB became up to 2,700 tuples of two objects, about 0.5 MB, and only bodies of responses were counted.

The fields are kept in a FieldBuffer, and what a response holds is reserved from its first byte. A complete head is reduced to ResponseHead at once: the encoded lines that go to the client, the framing, and whether the backend says that it did not run the request.

--- a/heronreel/proxy/backend_connection.py
+++ b/heronreel/proxy/backend_connection.py
@@ -20,17 +20,12 @@
 from heronreel.proxy.delivery_monitor import DeliveryMonitor
 from heronreel.proxy.errors import NoMemoryError, UnreadableMessageError
 from heronreel.proxy.event_log import FailureReason
-from heronreel.proxy.http1 import (
-    DATE_LINE,
-    MAX_HEAD_BYTES,
-    OPTIONAL_WHITESPACE,
-    Headers,
-    end_to_end_lines,
-)
+from heronreel.proxy.field_buffer import FieldBuffer
+from heronreel.proxy.http1 import DATE_LINE, MAX_HEAD_BYTES
 from heronreel.proxy.memory_account import MemoryAccount, MemoryUse
 from heronreel.proxy.read_buffer import ReadingProtocol
 from heronreel.proxy.reading_pause import PauseReason, ReadingPause
-from heronreel.proxy.response import Response, ResponseBodySink, read_framing
+from heronreel.proxy.response import Response, ResponseBodySink, ResponseHead, read_response_head
 from heronreel.proxy.reuse_delay import ReuseDelay
 from heronreel.proxy.socket_state import discard_unsent_bytes, unsent_bytes
 from heronreel.proxy.streams import (
@@ -178,10 +173,10 @@
     """One connection to a backend, which carries one attempt at a time."""
 
     __slots__ = (
-        "abandoned", "address", "attempt", "backend", "body_parts", "chunk_sizes", "complete",
-        "declared_length", "delivery", "ends_with_connection", "has_unsent_bytes", "headers", "heads_in_read",
-        "idle_since", "keep_alive", "parser", "pool", "reading_pause", "received_bytes", "reserved_bytes",
-        "responded_at", "section_bytes", "silence_timer", "sink", "status", "stream_parts", "transport",
+        "abandoned", "address", "attempt", "backend", "body_parts", "chunk_sizes", "complete", "delivery",
+        "fields", "has_unsent_bytes", "head", "heads_in_read", "idle_since", "keep_alive", "parser", "pool",
+        "reading_pause", "received_bytes", "reserved_bytes", "responded_at", "section_bytes", "silence_timer",
+        "sink", "status", "stream_parts", "transport",
     )  # fmt: skip
 
     def __init__(self, pool: ConnectionOwner, backend: Backend) -> None:
@@ -194,13 +189,13 @@
         self.abandoned = False  # Connecting was given up.
         # Part of the request is still in the write buffer, or was not received from the client yet.
         self.has_unsent_bytes = False
-        self.headers: Headers = []
+        self.fields = FieldBuffer()  # Of the head being received.
+        self.head: ResponseHead | None = None  # The head of the final response, once it is complete.
         self.body_parts: list[bytes] = []
         self.received_bytes = 0  # Bytes received for the current attempt.
         self.section_bytes = 0  # Size of the head so far, then of the body so far.
         self.reserved_bytes = 0  # Bytes reserved from the account.
         self.status = 0
-        self.declared_length: int | None = None  # The Content-Length, if the head has one.
         # Receives a response that is forwarded while it is being received.
         self.sink: ResponseBodySink | None = None
         self.stream_parts: list[bytes] = []  # Parts of it that the read in progress has brought.
@@ -211,7 +206,6 @@
         self.chunk_sizes: ChunkSizeCheck | None = ChunkSizeCheck()
         self.heads_in_read = 0  # Heads that the bytes read last have completed.
         self.complete = False  # The last byte of the response was read.
-        self.ends_with_connection = False  # The response ends when the backend closes the connection.
         self.keep_alive = False
         self.idle_since = 0.0
         self.responded_at = -math.inf  # When the last response ended, on the monotonic clock in seconds.
@@ -344,6 +338,8 @@
             self._fail_response(failure)
         elif self.received_bytes > self._max_received_bytes():
             self._fail_response(FailureReason.TOO_LONG)
+        elif self.head is None and not self._hold(self.received_bytes):
+            self._fail_response(FailureReason.NO_MEMORY)
         elif self._must_stream() and not self.start_streaming():
             self.reading_pause.add(PauseReason.MEMORY_USED_UP)
             self.pool.waiting_for_memory[self] = None
@@ -352,6 +348,16 @@
                 MAX_SILENCE_S, self._check_silence, self.received_bytes
             )
 
+    def _hold(self, size: int) -> bool:
+        """Hold `size` bytes of memory in all for the response; return whether there is enough."""
+        added, memory = size - self.reserved_bytes, self.pool.observer.memory
+        if added > 0 and not memory.reserve(MemoryUse.RESPONSES, added):
+            return False
+        if added < 0:
+            memory.release(MemoryUse.RESPONSES, -added)
+        self.reserved_bytes = size
+        return True
+
     def _forward_stream_parts(self) -> None:
         """Forward what one read has brought in one piece, however many chunks it has."""
         parts, self.stream_parts = self.stream_parts, []
@@ -360,7 +366,7 @@
 
     def _parse(self, data: bytes) -> FailureReason | None:
         """Parse received bytes; return why the response is not usable, or None."""
-        had_head, self.heads_in_read = self.status >= 200, 0
+        had_head, self.heads_in_read = self.head is not None, 0
         try:
             self.parser.feed_data(data)
             if not self._has_allowed_chunks(data, had_head):
@@ -378,45 +384,48 @@
             return True
         if had_head:
             return check.allows(data)
-        if self.status >= 200:
+        if self.head is not None:
             return check.begin(data, self.heads_in_read)
         check.note_head(data)
         return True
 
     def _max_received_bytes(self) -> int:
-        return MAX_RAW_BYTES + MAX_FRAMING_FACTOR * self.section_bytes if self.status else MAX_HEAD_BYTES
+        if self.status:
+            return MAX_RAW_BYTES + MAX_FRAMING_FACTOR * self.section_bytes
+        return MAX_HEAD_BYTES
 
     def _must_stream(self) -> bool:
         """Return whether the response has to be streamed and streaming has not started yet."""
         if self.sink is not None or self.attempt is None or self.attempt.ended:
             return False
-        if self.status < 200 or not self._is_served(self.status):
+        if self.head is None or not self._is_served(self.status):
             return False
-        if self.declared_length is None:
+        length = self.head.framing.declared_length
+        if length is None:
             return self.section_bytes > MAX_BUFFERED_UNSIZED_RESPONSE_BYTES
         # Its length alone tells that the response is long, also before the body begins.
-        return self.declared_length > MAX_BUFFERED_RESPONSE_BYTES
+        return length > MAX_BUFFERED_RESPONSE_BYTES
 
     def _may_become_long(self) -> bool:
         """Return whether the head leaves open whether the response is a long one."""
-        return self.status >= 200 and self._is_served(self.status) and self.declared_length is None
+        if self.head is None or not self._is_served(self.status):
+            return False
+        return self.head.framing.declared_length is None
 
     def start_streaming(self) -> bool:
         """Start forwarding a long response to the client.
 
         Returns False if there is not enough memory for it yet.
         """
-        attempt = self.attempt
-        if attempt is None or attempt.ended:
+        attempt, head = self.attempt, self.head
+        if attempt is None or attempt.ended or head is None:
             return True
-        memory = self.pool.observer.memory
-        if not memory.reserve(MemoryUse.RESPONSES, MAX_STREAM_BUFFER_BYTES):
+        if not self._hold(MAX_STREAM_BUFFER_BYTES):
             return False
-        memory.release(MemoryUse.RESPONSES, self.reserved_bytes)
-        self.reserved_bytes = MAX_STREAM_BUFFER_BYTES
         parts, self.body_parts = self.body_parts, []
-        start = Response(self.status, self._header_lines(), b"".join(parts))
-        self.sink = self.pool.observer.response_streaming(attempt, self, start, self.declared_length)
+        start = Response(head.status, head.header_lines, b"".join(parts))
+        length = head.framing.declared_length
+        self.sink = self.pool.observer.response_streaming(attempt, self, start, length)
         if self.sink is None:  # No client is waiting for the response.
             self.pool.abandon_attempt(attempt, Outcome.CANCELLED)
         elif self.silence_timer is None:
@@ -459,14 +468,14 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Handle one header field (parser callback)."""
-        if self.status >= 200 and not self.complete:
+        if self.head is not None and not self.complete:
             # This is a trailer field.  It is dropped, since no client has requested trailers (RFC 9110,
             # section 6.5.1).  MAX_RAW_BYTES limits its size.
             return
         self.section_bytes += len(name) + len(value) + 4
         if self.section_bytes > MAX_HEAD_BYTES or self.complete:
             raise UnreadableMessageError
-        self.headers.append((name.lower(), value.rstrip(OPTIONAL_WHITESPACE)))
+        self.fields.add(name, value)
 
     def on_headers_complete(self) -> None:
         """Check the framing, on which the reuse of the connection depends (parser callback)."""
@@ -476,9 +485,11 @@
         self.section_bytes = 0
         if self.status < 200:
             return
-        self.declared_length, self.ends_with_connection = read_framing(self.status, self.headers)
-        if self.declared_length is not None or self.ends_with_connection:
+        self.head = read_response_head(self.status, self.fields.take())
+        if self.head.framing.declared_length is not None or self.head.framing.ends_with_connection:
             self.chunk_sizes = None
+        if not self._hold(len(self.head.header_lines)):
+            raise NoMemoryError
 
     def on_body(self, data: bytes) -> None:
         """Buffer or forward the next part of the body (parser callback)."""
@@ -493,9 +504,8 @@
         if self.sink is not None:
             self.stream_parts.append(data)
             return
-        if not self.pool.observer.memory.reserve(MemoryUse.RESPONSES, len(data)):
+        if not self._hold(self.reserved_bytes + len(data)):
             raise NoMemoryError  # As with a malformed response, the request may have run.
-        self.reserved_bytes += len(data)
         self.body_parts.append(data)
 
     def on_message_complete(self) -> None:
@@ -503,17 +513,19 @@
         if self.status == 101 or self.status >= 200:
             self.complete = True
         else:
-            self.headers, self.status = [], 0  # This was an interim response; the final one follows.
+            self.fields.clear()  # This was an interim response; the final one follows.
+            self.status = 0
 
     def _finish_response(self, reusable: bool) -> None:
         """End the attempt.
 
         The connection is kept only if the start of its next response is certain.
         """
-        attempt, status, headers, parts = self.attempt, self.status, self.headers, self.body_parts
-        streamed, header_lines = self.sink is not None, self._header_lines()
+        attempt, head, parts = self.attempt, self.head, self.body_parts
+        streamed = self.sink is not None
         self._clear()
-        if reusable and not self.has_unsent_bytes and status != 101 and not self.ends_with_connection:
+        reusable = reusable and head is not None and not head.framing.ends_with_connection
+        if reusable and not self.has_unsent_bytes:
             self.responded_at = time.monotonic()
             self.pool.release(self)
         else:
@@ -522,23 +534,22 @@
             return
         if streamed:
             self.pool.end_attempt(attempt, Outcome.SERVED)
-        elif self._is_served(status):
-            self.pool.end_attempt(attempt, Outcome.SERVED, Response(status, header_lines, b"".join(parts)))
-        elif 400 <= status < 500 and not self.pool.accepts_any_status:
+        else:
+            self._end_buffered(attempt, head, b"".join(parts))
+
+    def _end_buffered(self, attempt: Attempt, head: ResponseHead | None, body: bytes) -> None:
+        """End an attempt whose response was buffered; a change of protocols has no final head."""
+        if head is not None and self._is_served(head.status):
+            response = Response(head.status, head.header_lines, body)
+            self.pool.end_attempt(attempt, Outcome.SERVED, response)
+        elif head is not None and 400 <= head.status < 500 and not self.pool.accepts_any_status:
             # The backend rejects what the client sent, which says nothing about the backend's health.
             self.pool.end_attempt(attempt, Outcome.CANCELLED, Response(400, DATE_LINE.now(), b""))
         else:
             attempt.failure = FailureReason.STATUS
-            not_run = status in (429, 503, 504) and (b"x-not-run", b"1") in headers
+            not_run = head is not None and head.says_not_run
             self.pool.end_attempt(attempt, Outcome.REJECTED if not_run else Outcome.ERROR)
 
-    def _header_lines(self) -> bytes:
-        lines = end_to_end_lines(self.headers)
-        if not any(name == b"date" for name, _ in self.headers):
-            # A proxy adds the missing Date field to a response that it forwards (RFC 9110, section 6.6.1).
-            lines += DATE_LINE.now()
-        return lines
-
     def _is_served(self, status: int) -> bool:
         """Return whether a response with this status serves the request.
 
@@ -555,7 +566,8 @@
 
     def eof_received(self) -> bool:
         """Finish a response without a length, which ends when the backend stops sending."""
-        if self.ends_with_connection and self.attempt is not None:
+        head = self.head
+        if head is not None and head.framing.ends_with_connection and self.attempt is not None:
             self._finish_response(False)
         return False
 
@@ -575,12 +587,11 @@
 
     def _clear(self) -> None:
         self._detach_upload()
-        self.attempt, self.headers, self.body_parts = None, [], []
-        self.sink, self.declared_length = None, None
+        self.attempt, self.head, self.sink, self.body_parts = None, None, None, []
+        self.fields.clear()
         self.pool.waiting_for_memory.pop(self, None)
         self.reading_pause.clear()
-        self.pool.observer.memory.release(MemoryUse.RESPONSES, self.reserved_bytes)
-        self.reserved_bytes = 0
+        self._hold(0)
         self.pool.resume_waiting_for_memory()
         if self.silence_timer:
             self.silence_timer.cancel()
--- a/heronreel/proxy/response.py
+++ b/heronreel/proxy/response.py
@@ -6,12 +6,13 @@
 from typing import NamedTuple, Protocol
 
 from heronreel.proxy.errors import UnreadableMessageError
-from heronreel.proxy.http1 import Headers
+from heronreel.proxy.http1 import DATE_LINE, Headers, end_to_end_lines
 from heronreel.proxy.streams import MAX_BODY_BYTES
 
 # The maximum number of digits of a Content-Length.
 MAX_LENGTH_DIGITS = 12
 STATUSES_WITHOUT_BODY = (204, 304)
+NOT_RUN_STATUSES = (429, 503, 504)
 
 
 @dataclass(slots=True)
@@ -30,6 +31,36 @@
         """Receive the next part of the body."""
 
 
+@dataclass(slots=True, frozen=True)
+class ResponseHead:
+    """What the proxy needs of the head of a final response.
+
+    Attributes:
+        header_lines: The fields that are forwarded, encoded.
+        framing: Where the body ends.
+        says_not_run: Whether the backend tells that it did not run the request.
+    """
+
+    status: int
+    header_lines: bytes
+    framing: Framing
+    says_not_run: bool
+
+
+def read_response_head(status: int, headers: Headers) -> ResponseHead:
+    """Read the head of a final response.
+
+    Raises:
+        UnreadableMessageError: The end of the response would not be certain.
+    """
+    lines = end_to_end_lines(headers)
+    if not any(name == b"date" for name, _ in headers):
+        # A proxy adds the missing Date field to a response that it forwards (RFC 9110, section 6.6.1).
+        lines += DATE_LINE.now()
+    says_not_run = status in NOT_RUN_STATUSES and (b"x-not-run", b"1") in headers
+    return ResponseHead(status, lines, read_framing(status, headers), says_not_run)
+
+
 class Framing(NamedTuple):
     """Where the body of a response ends."""
 
