Responses that their clients have not taken yet are counted until they are taken

450 clients that read nothing of a response of 60 kB drove a process with memory_mb 32 to 56.4 MB, one with 256 descriptors to 32.4. Cause: a response was counted until it was written to the client's connection, and no longer in its write buffer. A trace of one run showed 13.7 of 61.4 kB waiting for each client, and the resident memory growing by 60 kB for each: the event loop keeps the whole object until its last byte is taken.

DeliveryMonitor charges the whole of what was written while bytes wait; a response stream has a reservation of its own until it ends. What one peer holds is changed by resize(), which leaves the last 15 % of the memory to holdings of up to 4 KiB, those of responses too.

--- a/heronreel/proxy/backend_connection.py
+++ b/heronreel/proxy/backend_connection.py
@@ -350,11 +350,8 @@
 
     def _hold(self, size: int) -> bool:
         """Hold `size` bytes of memory in all for the response; return whether there is enough."""
-        added, memory = size - self.reserved_bytes, self.pool.observer.memory
-        if added > 0 and not memory.reserve(MemoryUse.RESPONSES, added):
+        if not self.pool.observer.memory.resize(MemoryUse.RESPONSES, self.reserved_bytes, size):
             return False
-        if added < 0:
-            memory.release(MemoryUse.RESPONSES, -added)
         self.reserved_bytes = size
         return True
 
--- a/heronreel/proxy/client_connection.py
+++ b/heronreel/proxy/client_connection.py
@@ -15,7 +15,6 @@
 import httptools
 
 from heronreel.proxy.client_interface import (
-    LARGE_REQUEST_MEMORY_RATIO,
     MAX_BODY_PAUSE_S,
     MAX_FRAMING_BYTES,
     MAX_HEADER_FIELDS,
@@ -25,7 +24,6 @@
     REQUEST_OBJECTS_BYTES,
     REQUEST_TIMEOUT_S,
     SMALL_BODY_BYTES,
-    SMALL_REQUEST_BYTES,
     TOO_MANY_PIPELINED,
     UPLOAD_CHECK_INTERVAL_S,
     ConnectionRegistry,
@@ -97,7 +95,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection with the listener."""
         self.transport = cast(asyncio.Transport, transport)
-        self.delivery = DeliveryMonitor(self.transport)
+        self.delivery = DeliveryMonitor(self.transport, self.memory)
         # With a limit of 0, `pause_writing` is called as soon as the kernel does not take all.
         self.transport.set_write_buffer_limits(high=0)
         self.reading_pause = ReadingPause(self.transport, self._on_pause_changed)
@@ -159,12 +157,8 @@
 
     def _reserve_for_request(self, size: int) -> bool:
         """Hold `size` bytes of memory in all for the request being read; return whether there is enough."""
-        share = 1.0 if size <= SMALL_REQUEST_BYTES else LARGE_REQUEST_MEMORY_RATIO
-        added = size - self.reserved_bytes
-        if added > 0 and not self.memory.reserve(MemoryUse.REQUESTS, added, share):
+        if not self.memory.resize(MemoryUse.REQUESTS, self.reserved_bytes, size):
             return False
-        if added < 0:
-            self.memory.release(MemoryUse.REQUESTS, -added)
         self.reserved_bytes = size
         return True
 
@@ -514,6 +508,7 @@
         """Release the connection's memory, and report the disconnect of its request's client."""
         self.listener.remove(self)
         self._release_request()
+        self.delivery.end_waiting()
         self._end_upload()
         for read in self.pipelined:
             self.memory.release(MemoryUse.REQUESTS, read.reserved_bytes)
--- a/heronreel/proxy/client_interface.py
+++ b/heronreel/proxy/client_interface.py
@@ -16,10 +16,6 @@
 SMALL_BODY_BYTES = 16 << 10
 # Objects that the proxy holds for a request until its response, beside its head and body.
 REQUEST_OBJECTS_BYTES = 2 << 10
-# Requests that need more memory than this may only use a part of the memory for peers; the rest is left for
-# the small ones.
-SMALL_REQUEST_BYTES = 4 << 10
-LARGE_REQUEST_MEMORY_RATIO = 0.85
 MAX_PIPELINED = 8  # requests that a client may send ahead of its responses
 MIN_BODY_BYTES_PER_S = 48e3  # lowest rate at which a client may send a large body
 # Longest pause between pieces of a large body; at 64 kB a second they may arrive in large pieces.
--- a/heronreel/proxy/client_writer.py
+++ b/heronreel/proxy/client_writer.py
@@ -150,6 +150,7 @@
             self.close_after_response or self.listener.is_closing_connections() or ends_with_connection
         )
         self.response_source = connection
+        self.delivery.is_reserved = True
         if self.delivery.waiting:
             connection.set_client_blocked(True)
         close = self.close_after_response and not self.pipelined
--- a/heronreel/proxy/streams.py
+++ b/heronreel/proxy/streams.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import math
 import time
 from typing import Protocol
 
@@ -121,7 +120,10 @@
             fits = fits and self.memory.reserve(MemoryUse.REQUESTS, len(data))
             # No request may be lost: bytes that were not sent to any backend yet are kept even beyond the
             # limits.  Reading is paused after them.
-            if fits or (self.sink is None and self.memory.reserve(MemoryUse.REQUESTS, len(data), math.inf)):
+            if not fits and self.sink is None:
+                self.memory.charge(MemoryUse.REQUESTS, len(data))
+                fits = True
+            if fits:
                 self.buffered_bytes += len(data)
                 self.buffer.append(part)
             else:
