The memory for peers follows from the memory of the process at its start, with connections

With memory_mb 32 and 1,024 descriptors a crowd could still pass the limit (33.3 MB with all kinds at once), as connections were not counted, their number followed from descriptors alone, and 28 MB were taken as the base whatever the process needed. A trace showed the rest: opening 430 connections to backends at once took 3.6 MB beside what was counted, and the allocator keeps small objects' memory, so that later bodies came on top.

Before it listens the process measures its own peak (VmHWM). 0.6 of what the limit leaves above it and 1 MB to spare may be held for peers. An open connection counts 3 KiB (2.7 measured over 500), one being opened 3 KiB more, and is not opened without memory. From 95 % on, a silent or idle connection is closed for a new one, else the new one is refused; above the limit the slowest sender is aborted. Backends of a later list count 2.5 KiB each (2.2 measured with 3,200), and the resident memory of the proxy's other process in an upgrade is subtracted.

Open: a list of 3,200 backends alone takes a process to 33.4 MB (36.3 with a file that knows them as well), over a limit of 32 MB.

--- a/heronreel/proxy/__main__.py
+++ b/heronreel/proxy/__main__.py
@@ -21,7 +21,7 @@
 from heronreel.proxy.drain import drain, record_signal_time, run_until_exit
 from heronreel.proxy.errors import ConfigError
 from heronreel.proxy.logs import NOT_RATE_LIMITED, log_to_stderr
-from heronreel.proxy.process_memory import MemoryReport
+from heronreel.proxy.memory_report import MemoryReport
 from heronreel.proxy.shared_state import SharedState
 
 if TYPE_CHECKING:
@@ -65,6 +65,7 @@
         # Draining backends must get no new requests.  The agent's list counts as notified from the start of
         # this process, and the list in the file may be old.
         await _wait_for_list(dispatcher, PUSHED_LIST_TIMEOUT_S, stop)
+    dispatcher.measure_base_memory()
     log.info("listening on %s:%d", *clients.listen(config.listen, inherited), extra=NOT_RATE_LIMITED)
     ready.set()
     gc.collect()
--- a/heronreel/proxy/admin_api.py
+++ b/heronreel/proxy/admin_api.py
@@ -66,7 +66,7 @@
             log.error("shared folder: %s", error)
 
     def synchronize(self) -> None:
-        """Apply the cordons and the quiesced state of the shared folder, and share the descriptor limit.
+        """Apply the cordons and the quiesced state of the shared folder, and share the limits.
 
         Raises:
             OSError: The folder can't be read.
@@ -76,6 +76,7 @@
             self.registry.apply_cordons(cordons)
             self.clients.set_quiesced(quiesced)
             self._share_descriptors()
+            self.dispatcher.set_memory_elsewhere(self.shared.memory_in_use_elsewhere())
 
     def _share_descriptors(self) -> None:
         """Limit this process to the descriptors that the other process leaves, and to no fewer.
--- a/heronreel/proxy/backend_connection.py
+++ b/heronreel/proxy/backend_connection.py
@@ -22,7 +22,7 @@
 from heronreel.proxy.event_log import FailureReason
 from heronreel.proxy.field_buffer import FieldBuffer
 from heronreel.proxy.http1 import DATE_LINE, MAX_HEAD_BYTES
-from heronreel.proxy.memory_account import MemoryAccount, MemoryUse
+from heronreel.proxy.memory_account import CONNECTION_BYTES, MemoryAccount, MemoryUse
 from heronreel.proxy.read_buffer import ReadingProtocol
 from heronreel.proxy.reading_pause import PauseReason, ReadingPause
 from heronreel.proxy.response import Response, ResponseBodySink, ResponseHead, read_response_head
@@ -219,6 +219,7 @@
         # With a limit of 0, `resume_writing` is called when everything has been written.
         self.transport.set_write_buffer_limits(high=0)
         self.pool.connections.add(self)
+        self.pool.observer.memory.charge(MemoryUse.CONNECTIONS, CONNECTION_BYTES)
         if self.abandoned:
             self.transport.abort()
 
--- a/heronreel/proxy/client_interface.py
+++ b/heronreel/proxy/client_interface.py
@@ -15,7 +15,7 @@
 MAX_FRAMING_BYTES = 256 << 10  # of trailers and chunk extensions in one request
 SMALL_BODY_BYTES = 16 << 10
 # Objects that the proxy holds for a request until its response, beside its head and body.
-REQUEST_OBJECTS_BYTES = 2 << 10
+REQUEST_OBJECTS_BYTES = 3 << 10
 MAX_PIPELINED = 8  # requests that a client may send ahead of its responses
 MIN_BODY_BYTES_PER_S = 48e3  # lowest rate at which a client may send a large body
 # Longest pause between pieces of a large body; at 64 kB a second they may arrive in large pieces.
--- a/heronreel/proxy/client_listener.py
+++ b/heronreel/proxy/client_listener.py
@@ -17,6 +17,7 @@
 from heronreel.proxy.disconnect_watch import DisconnectWatch
 from heronreel.proxy.dispatcher import Dispatcher
 from heronreel.proxy.event_log import CloseReason, record_state
+from heronreel.proxy.memory_account import CONNECTION_BYTES, MemoryUse
 from heronreel.proxy.socket_state import has_unread_input
 
 BACKLOG = 2048
@@ -56,6 +57,7 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, config: Config, dispatcher: Dispatcher) -> None:
         self.loop = loop
         self.dispatcher = dispatcher
+        self.memory = dispatcher.memory
         self.address = config.listen
         self.config = config
         # Called for each accepted connection while another process shares the limits.
@@ -125,14 +127,18 @@
     # Limits on connections.
 
     def admit(self, client: ClientConnection) -> bool:
-        """Register a new connection; False means that there are too many, so that it must be rejected."""
+        """Register a new connection.
+
+        False means that it must be rejected, because there are too many or memory is scarce.
+        """
         self.connections[client] = None
+        self.memory.charge(MemoryUse.CONNECTIONS, CONNECTION_BYTES)
         self.accepted += 1
         client.number = self.accepted
         self.accepted_at = time.monotonic()
         if self.before_admit:
             self.before_admit()
-        if len(self.connections) <= self.max_connections:
+        if len(self.connections) <= self.max_connections and not self.memory.is_scarce():
             return True
         # Connections that have sent nothing are closed before those that have sent a request.  This protects
         # usual clients: any number of silent connections costs no more than accepting them.  A client that
@@ -141,13 +147,17 @@
         if oldest and oldest is not client:
             oldest.abort(CloseReason.REPLACED)
             return True
-        excess = len(self.connections) - self.max_connections
+        excess = max(0, len(self.connections) - self.max_connections)
         if oldest := self._first_without_input(self.idle):
             oldest.close(CloseReason.REPLACED)
             # Closing connections still hold the descriptors that are meant for rejected clients.
             if excess > self.max_rejected:
                 self._abort_slowest(client)
             return True
+        if self.memory.is_scarce():
+            if self.memory.is_exceeded():
+                self._abort_slowest(client)
+            return False
         if self.dispatcher.pool.lend_descriptors(excess) >= excess:
             return True
         if excess > self.dispatcher.pool.lent_descriptors + self.max_rejected:
@@ -169,7 +179,9 @@
 
     def remove(self, client: ClientConnection) -> None:
         """Remove a closed connection."""
-        self.connections.pop(client, None)
+        if client in self.connections:
+            del self.connections[client]
+            self.memory.release(MemoryUse.CONNECTIONS, CONNECTION_BYTES)
         self.idle.pop(client, None)
         self.silent.pop(client, None)
         self.disconnect_watch.discard(client)
--- a/heronreel/proxy/config.py
+++ b/heronreel/proxy/config.py
@@ -21,10 +21,6 @@
 from heronreel.proxy.errors import ConfigError, MalformedEndpointListError
 
 MB = 1 << 20
-BASE_MB = 28  # memory of the interpreter, the code and the connections' own state
-# Part of the remaining memory for bodies and buffered responses; parsing and garbage need some of the rest.
-BODY_MEMORY_RATIO = 0.4
-MIN_BODY_MB = 1.0  # with less memory, too few requests could be buffered
 # For standard streams, event loop, listener, discovery, admin API, and a few to spare.
 RESERVED_DESCRIPTORS = 32
 # Part of the other descriptors that is reserved for backends, so that clients can't use up all of them.
@@ -36,9 +32,8 @@
 
 
 class ResourceShares(NamedTuple):
-    """How a process divides its memory and descriptors."""
+    """How a process divides its descriptors."""
 
-    body_bytes: int  # for request bodies and buffered responses together
     client_sockets: int
     rejected_sockets: int  # for clients beyond `client_sockets`, which get a 503
     backend_sockets: int
@@ -56,8 +51,8 @@
     endpoints: EndpointList  # used until discovery has sent a list
     backend_idle_ms: float  # backends close connections that have been idle for this long
     drain_grace_ms: float  # requests may be sent to a backend for this long after it was reported draining
-    # These four are described at `ResourceShares`.
-    body_bytes: int
+    memory_bytes: int  # limit on the memory for all processes of this proxy together
+    # These three are described at `ResourceShares`.
     client_sockets: int
     rejected_sockets: int
     backend_sockets: int
@@ -66,7 +61,6 @@
     sockets: int = 0  # limit on descriptors for all processes of this proxy together
     # Responses other than 200 count as served too, unless they are server errors.
     accepts_any_status: bool = False
-    memory_bytes: int = 0  # limit on the memory of the process; 0: none is known
 
 
 def load(environ: Mapping[str, str]) -> Config:
@@ -112,10 +106,10 @@
         endpoints,
         backend_idle_ms,
         drain_grace_ms,
-        *resource_shares(memory_mb, sockets),
+        int(memory_mb * MB),
+        *resource_shares(sockets),
         admin_address=admin,
         sockets=sockets,
-        memory_bytes=int(memory_mb * MB),
     )
 
 
@@ -125,7 +119,7 @@
     The limit on descriptors is for all processes of one proxy together.
     """
     available = max(2 * RESERVED_DESCRIPTORS, config.sockets - in_use)
-    shares = resource_shares(0.0, available)
+    shares = resource_shares(available)
     return replace(
         config,
         client_sockets=shares.client_sockets,
@@ -134,12 +128,11 @@
     )
 
 
-def resource_shares(memory_mb: float, sockets: int) -> ResourceShares:
-    """Divide memory and descriptors between bodies, clients and backends."""
+def resource_shares(sockets: int) -> ResourceShares:
+    """Divide descriptors between clients and backends."""
     shared = sockets - RESERVED_DESCRIPTORS
     backend, rejected = int(shared * BACKEND_DESCRIPTOR_RATIO), int(shared * REJECTED_DESCRIPTOR_RATIO)
-    body = int(max(MIN_BODY_MB, (memory_mb - BASE_MB) * BODY_MEMORY_RATIO) * MB)
-    return ResourceShares(body, shared - backend - rejected, rejected, backend)
+    return ResourceShares(shared - backend - rejected, rejected, backend)
 
 
 def _read_document(path: str) -> dict[str, Any]:
--- a/heronreel/proxy/connection_pool.py
+++ b/heronreel/proxy/connection_pool.py
@@ -22,6 +22,7 @@
     BackendConnection,
 )
 from heronreel.proxy.config import Config
+from heronreel.proxy.memory_account import CONNECTING_BYTES, CONNECTION_BYTES, MemoryUse
 from heronreel.proxy.reading_pause import PauseReason
 from heronreel.proxy.response import Response
 from heronreel.proxy.socket_state import has_unread_input
@@ -112,12 +113,17 @@
         # More than one connection has to be closed if the limit has shrunk, as during an upgrade.
         while self.open_count() >= self.max_connections - self.lent_descriptors and self.idle:
             self.close(next(iter(self.idle)))
-        if self.open_count() >= self.max_connections - self.lent_descriptors:
+        has_descriptor = self.open_count() < self.max_connections - self.lent_descriptors
+        if not has_descriptor or not self.observer.memory.reserve(MemoryUse.CONNECTIONS, CONNECTING_BYTES):
             self.end_attempt(attempt, Outcome.NOT_SENT)
             return
         task = self.loop.create_task(self._connect(attempt))
         self.connecting.add(task)
-        task.add_done_callback(self.connecting.discard)
+        task.add_done_callback(self._on_connect_ended)
+
+    def _on_connect_ended(self, task: asyncio.Task[None]) -> None:
+        self.connecting.discard(task)
+        self.observer.memory.release(MemoryUse.CONNECTIONS, CONNECTING_BYTES)
 
     def _take_idle(self, backend: Backend, now: float) -> BackendConnection | None:
         """Return an idle connection that has no unread input, or None.
@@ -270,7 +276,9 @@
 
     def remove(self, connection: BackendConnection) -> None:
         """Stop counting a connection that is closed or lost."""
-        self.connections.discard(connection)
+        if connection in self.connections:
+            self.connections.remove(connection)
+            self.observer.memory.release(MemoryUse.CONNECTIONS, CONNECTION_BYTES)
         if connection in self.idle:
             del self.idle[connection]
             connection.backend.idle.remove(connection)
--- a/heronreel/proxy/dispatcher.py
+++ b/heronreel/proxy/dispatcher.py
@@ -28,7 +28,8 @@
 from heronreel.proxy.endpoints import EndpointList
 from heronreel.proxy.event_log import EventKind, RefusalReason, record
 from heronreel.proxy.http1 import DATE_LINE
-from heronreel.proxy.memory_account import MemoryAccount, MemoryUse
+from heronreel.proxy.memory_account import USUAL_BASE_BYTES, MemoryAccount, MemoryLimits, MemoryUse
+from heronreel.proxy.process_memory import read_process_memory
 from heronreel.proxy.request import Request, RequestHead, ResponseWriter, Router
 from heronreel.proxy.response import Response, ResponseBodySink
 from heronreel.proxy.streams import RequestBodyStream
@@ -80,7 +81,9 @@
         self.watch = self._make_watch(config)
         self.requests: dict[int, Request] = {}  # Requests that are unfinished or have attempts in flight.
         self.request_ids: set[bytes] = set()  # The clients' ids of the same requests.
-        self.memory = MemoryAccount(config.body_bytes)
+        self.memory_limits = MemoryLimits(config.memory_bytes)
+        self.base_backends = 0  # Backends that were known when the base memory was measured.
+        self.memory = MemoryAccount(self.memory_limits.held_bytes())
         self.last_number = 0  # The number of the latest request.
         # Whether a list newer than the file's was received; true from the start if there is no discovery
         # service.
@@ -133,7 +136,8 @@
         self._take_settings(config.settings)
         self.dispatch(api.NewSettings(config.settings))
         self.pool.reconfigure(config)
-        self.memory.limit = config.body_bytes
+        self.memory_limits.process_bytes = config.memory_bytes
+        self._update_memory_limit()
         if self.watch and config.discovery:
             pushed = not config.settings.watch_list
             self.watch.reconfigure(config.discovery, pushed, config.drain_grace_ms / 1000.0)
@@ -158,6 +162,23 @@
             self.has_received_list = True
             kind = api.ListKind.FULL if update.is_snapshot else api.ListKind.CHANGES
             self.registry.update(update, kind)
+            self._update_memory_limit()
+
+    def measure_base_memory(self) -> None:
+        """Take the memory of this process as its base, before it serves anything."""
+        peak = read_process_memory().peak
+        self.memory_limits.base_bytes = peak or USUAL_BASE_BYTES
+        self.base_backends = len(self.backends)
+        self._update_memory_limit()
+
+    def set_memory_elsewhere(self, size: int) -> None:
+        """Set how many bytes of the limit the proxy's other processes use."""
+        self.memory_limits.elsewhere_bytes = size
+        self._update_memory_limit()
+
+    def _update_memory_limit(self) -> None:
+        self.memory_limits.added_backends = max(0, len(self.backends) - self.base_backends)
+        self.memory.limit = self.memory_limits.held_bytes()
 
     def begin_shutdown(self, send_until: float, answer_by: float) -> None:
         """Limit all requests to the remaining time of a process that is shutting down.
--- a/heronreel/proxy/shared_state.py
+++ b/heronreel/proxy/shared_state.py
@@ -16,6 +16,8 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from heronreel.proxy.process_memory import read_process_memory
+
 POLL_INTERVAL_S = 0.1
 SPARE_DESCRIPTORS = 6  # descriptors that another process may open between two polls
 MAX_CORDONS = 4096  # bounds the number of files in the folder
@@ -99,6 +101,10 @@
                 in_use += len(os.listdir(f"/proc/{process}/fd")) + SPARE_DESCRIPTORS
         return in_use
 
+    def memory_in_use_elsewhere(self) -> int:
+        """Return the resident memory of the proxy's other processes in bytes."""
+        return sum(read_process_memory(process).resident for process in self.other_processes())
+
     def read(self) -> tuple[dict[str, Cordon], bool]:
         """Return the cordons by backend name, in force or released, and whether the proxy is quiesced."""
         cordons, quiesced = {}, False
--- a/heronreel/serve/policies.py
+++ b/heronreel/serve/policies.py
@@ -7,7 +7,7 @@
 from dataclasses import replace
 
 from heronreel.balancer import interface as api
-from heronreel.proxy.config import Config, resource_shares
+from heronreel.proxy.config import MB, Config, resource_shares
 from heronreel.proxy.endpoints import Endpoint, EndpointList
 from heronreel.routes.index import RouteIndex
 from heronreel.routes.model import OUTCOMES_BY_NAME, ExhaustedResponse, Pool, RetryScope, Route, RoutesFile
@@ -173,7 +173,8 @@
         members_of(file, down),
         process.backend_idle_ms,
         process.drain_grace_ms,
-        *resource_shares(process.memory_mb, process.sockets),
+        int(process.memory_mb * MB),
+        *resource_shares(process.sockets),
         endpoints_from_file=True,
         accepts_any_status=True,
     )
--- a/heronreel/serve/program.py
+++ b/heronreel/serve/program.py
@@ -107,6 +107,7 @@
 
     def listen(self) -> dict[str, tuple[str, int]]:
         """Bind all listeners; return the bound address of each by name."""
+        self.proxy.measure_base_memory()
         if self.platform:
             return {"clients": self.clients.listen(self.clients.address)}
         return {row.name: self.clients.listen(row.address) for row in self.file.listeners}
