An id of a request that may have run is remembered, also by the other process of an upgrade

Cause: the dispatcher forgot an id when its last attempt ended, though the request had run, and the two processes of an upgrade told each other nothing.

The ids of the newest 2,048 requests that were sent and are not idempotent are remembered, as digests of 8 bytes; one that certainly never ran is forgotten. Another request with such an id gets 400, as one with the id of a request in flight. While a proxy has two processes each appends the digest to a file of its own in the shared folder before it sends, and reads the other's before it admits; what it knew before is written when the other process is noticed, at most 0.1 s after its start.

--- a/heronreel/proxy/admin_api.py
+++ b/heronreel/proxy/admin_api.py
@@ -51,6 +51,7 @@
         self.registry = dispatcher.registry
         self.clients = clients
         self.shared = shared
+        self.shares_ids = False  # whether request ids are exchanged with another process
         self.descriptors_elsewhere = 0  # descriptors that the proxy's other process uses
         if shared is not None:
             self._poll()
@@ -87,6 +88,7 @@
         if self.shared is None:
             return
         in_use = self.shared.descriptors_in_use_elsewhere()
+        self._share_request_ids(in_use > 0)
         if in_use != self.descriptors_elsewhere:
             self.descriptors_elsewhere = in_use
             self.clients.limit_descriptors(in_use)
@@ -94,6 +96,15 @@
                 (lambda: self._log_failure(self._share_descriptors)) if in_use else None
             )
 
+    def _share_request_ids(self, has_other_process: bool) -> None:
+        if self.shared is None or has_other_process == self.shares_ids:
+            return
+        self.shares_ids = has_other_process
+        ids = self.shared.request_ids
+        self.dispatcher.recent_ids.share(ids if has_other_process else None)
+        if not has_other_process:
+            ids.remove_others()
+
     def execute(self, command: str, backend_name: str) -> bool:
         """Execute a command and store its effect in the shared folder; return whether it could be executed.
 
--- a/heronreel/proxy/client_connection.py
+++ b/heronreel/proxy/client_connection.py
@@ -349,7 +349,7 @@
     def _start_upload(self) -> None:
         """Forward a body that is too long to be buffered to a backend while it is received."""
         dispatcher, head = self.listener.dispatcher, self.head
-        duplicate = head is not None and head.request_id and head.request_id in dispatcher.request_ids
+        duplicate = head is not None and dispatcher.is_duplicate(head)
         busy = bool(self.request or self.pipelined)
         admitting = self.listener.is_admitting()
         if busy or head is None or duplicate or not admitting:
@@ -430,8 +430,8 @@
         if not self.admitted:
             status, self.close_after_response = status or 503, True
             reason = reason or RefusalReason.TOO_MANY_CONNECTIONS
-        if head and not status and head.request_id and head.request_id in dispatcher.request_ids:
-            # The id of a request in flight identifies its response and its effect, so it must be unique.
+        if head and not status and dispatcher.is_duplicate(head):
+            # The id of a request identifies its response and its effect, so it must be unique.
             status, reason = 400, RefusalReason.DUPLICATE_ID
         if head and not status and not self.listener.is_admitting():
             status, reason = 503, RefusalReason.DRAINING
--- a/heronreel/proxy/dispatcher.py
+++ b/heronreel/proxy/dispatcher.py
@@ -30,6 +30,7 @@
 from heronreel.proxy.http1 import DATE_LINE
 from heronreel.proxy.memory_account import USUAL_BASE_BYTES, MemoryAccount, MemoryLimits, MemoryUse
 from heronreel.proxy.process_memory import read_process_memory
+from heronreel.proxy.recent_ids import RecentRequestIds
 from heronreel.proxy.request import Request, RequestHead, ResponseWriter, Router
 from heronreel.proxy.response import Response, ResponseBodySink
 from heronreel.proxy.streams import RequestBodyStream
@@ -81,6 +82,9 @@
         self.watch = self._make_watch(config)
         self.requests: dict[int, Request] = {}  # Requests that are unfinished or have attempts in flight.
         self.request_ids: set[bytes] = set()  # The clients' ids of the same requests.
+        self.recent_ids = (
+            RecentRequestIds()
+        )  # The ids of those that may have run, unless they are idempotent.
         self.memory_limits = MemoryLimits(config.memory_bytes)
         self.base_backends = 0  # Backends that were known when the base memory was measured.
         self.memory = MemoryAccount(self.memory_limits.held_bytes())
@@ -295,6 +299,7 @@
             request_id=head.request_id,
             upload=upload,
             reserved_bytes=reserved_bytes,
+            is_idempotent=self._is_idempotent(head),
         )
         self.requests[request.number] = request
         if request.request_id:
@@ -321,6 +326,18 @@
         )
         return request
 
+    def is_duplicate(self, head: RequestHead) -> bool:
+        """Return whether a request has the id of one in flight, or of one whose effect it would repeat."""
+        if not head.request_id:
+            return False
+        if head.request_id in self.request_ids:
+            return True
+        return not self._is_idempotent(head) and head.request_id in self.recent_ids
+
+    def _is_idempotent(self, head: RequestHead) -> bool:
+        request_class = head.policy.request_class if head.policy else self.classes.get(head.class_name)
+        return request_class is not None and request_class.effect is api.Effect.IDEMPOTENT
+
     def upload_finished(self, request: Request) -> None:
         """Start the timeouts of a request and its attempts when the last byte of its upload was read."""
         if request.finished or not request.upload:
@@ -424,6 +441,8 @@
         if request and request.finished and not request.in_flight:
             del self.requests[number]
             self.request_ids.discard(request.request_id)
+            if request.request_id and not request.may_have_run:
+                self.recent_ids.discard(request.request_id)
             request.attempts.clear()
 
     # Attempts.
@@ -456,6 +475,8 @@
                 after=request.last_outcome,
                 hedged=request.in_flight > 0,
             )
+        elif request.request_id and not request.is_idempotent:
+            self.recent_ids.add(request.request_id)
         if ends_at < request.deadline:
             delay_s = ends_at - now
             attempt.timer = self.loop.call_later(
@@ -467,6 +488,7 @@
         """Handle the end of an attempt; `response`, if any, is sent to the client."""
         request, backend = cast(Request, attempt.request), attempt.backend
         request.last_outcome = outcome
+        request.may_have_run = request.may_have_run or outcome not in api.NEVER_RAN
         if outcome is not api.Outcome.SERVED:
             self._record_failed_attempt(request, attempt, outcome)
         if attempt is request.streaming:
--- a/heronreel/proxy/event_log.py
+++ b/heronreel/proxy/event_log.py
@@ -77,7 +77,7 @@
     TIMED_OUT = "request was not received in time"
     NO_MEMORY = "no memory for the request body"
     TOO_MANY_CONNECTIONS = "too many connections"
-    DUPLICATE_ID = "another request with this id is in flight"
+    DUPLICATE_ID = "another request with this id is in flight or may have run"
     TOO_MANY_PIPELINED = "too many pipelined requests"
     DRAINING = "received too late in the drain"
     REJECTED_BY_BALANCER = "rejected by the balancer"
--- a/heronreel/proxy/request.py
+++ b/heronreel/proxy/request.py
@@ -92,6 +92,8 @@
         request_id: The client's X-Request-Id.
         upload: Replaces `body` if the body is forwarded while it is being received.
         reserved_bytes: The memory that is held for the request.
+        is_idempotent: Whether a second run does no harm.
+        may_have_run: Whether an attempt has ended that may have run at its backend.
         streaming: The attempt whose response is forwarded to the client while it is being received.
     """
 
@@ -109,3 +111,5 @@
     upload: RequestBodyStream | None = None
     streaming: Attempt | None = None
     reserved_bytes: int = 0
+    is_idempotent: bool = False
+    may_have_run: bool = False
--- a/heronreel/proxy/shared_state.py
+++ b/heronreel/proxy/shared_state.py
@@ -17,6 +17,7 @@
 from pathlib import Path
 
 from heronreel.proxy.process_memory import read_process_memory
+from heronreel.proxy.shared_ids import SharedIdFiles
 
 POLL_INTERVAL_S = 0.1
 SPARE_DESCRIPTORS = 6  # descriptors that another process may open between two polls
@@ -46,6 +47,7 @@
         # For each file name: its inode and modification time, and the cordon that it holds.
         self.cache: dict[str, tuple[tuple[int, int], Cordon | None]] = {}
         folder.mkdir(mode=0o700, parents=True, exist_ok=True)
+        self.request_ids = SharedIdFiles(folder)
 
     def put(self, cordon: Cordon) -> None:
         """Store a cordon or its release atomically."""
