Input that is costly to read no longer keeps other clients from their turn of the event loop

Cause: while input fills the buffer, libuv reads one connection up to 32 times in the same turn, 256 KiB each, and each chunk is a callback. Nothing limited the time.

The time that a client's input takes is counted for each turn of the loop. A connection that has used over 1 ms waits for a later turn (TURN_USED); eight of those that wait are read in each turn, beside all others. Input that is mostly framing is read 16 KiB at a time.

--- a/heronreel/proxy/client_connection.py
+++ b/heronreel/proxy/client_connection.py
@@ -68,9 +68,9 @@
     """One connection of a client."""
 
     __slots__ = (
-        "admitted", "body", "body_blocked_at", "body_bytes", "declared_length", "error_reason",
-        "error_status", "fields", "head", "header_bytes", "parser", "requests_read", "reserved_bytes",
-        "target", "upload_parts",
+        "admitted", "body", "body_blocked_at", "body_bytes", "brings_long_pieces", "declared_length",
+        "error_reason", "error_status", "fields", "head", "header_bytes", "parser", "read_cost_s",
+        "read_turn", "requests_read", "reserved_bytes", "target", "upload_parts",
     )  # fmt: skip
 
     def __init__(self, listener: ConnectionRegistry[ClientConnection]) -> None:
@@ -89,6 +89,8 @@
         self.header_bytes = self.body_bytes = 0
         self.body_blocked_at = 0.0  # since when the body of a request can't be forwarded
         self.requests_read = 0
+        self.brings_long_pieces = False  # whether the last read was a body's content for the most part
+        self.read_turn = self.read_cost_s = 0.0
         self.declared_length = 0  # of the body; 0 if it is unknown
         self.admitted = True
 
@@ -119,6 +121,13 @@
 
     # Reading.  A parser callback that raises ends the parsing; the response then has `error_status`.
 
+    def buffer_updated(self, nbytes: int) -> None:
+        """Handle the bytes that were read, and count the time that this took."""
+        began_at, body_bytes = time.monotonic(), self.body_bytes
+        super().buffer_updated(nbytes)
+        self.brings_long_pieces = 2 * (self.body_bytes - body_bytes) >= nbytes
+        self.listener.read_turns.note(self, time.monotonic() - began_at)
+
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, and dispatch the requests that they complete."""
         self.listener.silent.pop(self, None)
@@ -152,8 +161,10 @@
             self._reject(503, RefusalReason.NO_MEMORY)
 
     def expects_much(self) -> bool:
-        """Return whether a long body is being read; a head is at most as long as a short read."""
-        return self.phase is Phase.BODY and max(self.body_bytes, self.declared_length) > SHORT_READ_BYTES
+        """Return whether a long body is being read, and mostly its content rather than its framing."""
+        if self.phase is not Phase.BODY or not self.brings_long_pieces:
+            return False
+        return max(self.body_bytes, self.declared_length) > SHORT_READ_BYTES
 
     def _reserve_for_request(self, size: int) -> bool:
         """Hold `size` bytes of memory in all for the request being read; return whether there is enough."""
--- a/heronreel/proxy/client_interface.py
+++ b/heronreel/proxy/client_interface.py
@@ -9,6 +9,7 @@
 from heronreel.proxy.disconnect_watch import DisconnectWatch
 from heronreel.proxy.dispatcher import Dispatcher
 from heronreel.proxy.event_log import RefusalReason
+from heronreel.proxy.read_turns import ReadTurns
 from heronreel.proxy.request import RequestHead
 
 MAX_HEADER_FIELDS = 100  # in one request
@@ -69,6 +70,7 @@
     silent: dict[Connection, None]  # connections that have not sent a byte
     idle: dict[Connection, None]  # connections between requests
     disconnect_watch: DisconnectWatch  # polls the connections that are not read
+    read_turns: ReadTurns  # lets connections whose input is costly wait for each other
 
     def admit(self, connection: Connection) -> bool:
         """Register a new connection; False means that its requests get an error response."""
--- a/heronreel/proxy/client_listener.py
+++ b/heronreel/proxy/client_listener.py
@@ -18,6 +18,7 @@
 from heronreel.proxy.dispatcher import Dispatcher
 from heronreel.proxy.event_log import CloseReason, record_state
 from heronreel.proxy.memory_account import CONNECTION_BYTES, MemoryUse
+from heronreel.proxy.read_turns import ReadTurns
 from heronreel.proxy.socket_state import has_unread_input
 
 BACKLOG = 2048
@@ -69,6 +70,7 @@
         # Connections between requests, the longest idle first.
         self.idle: dict[ClientConnection, None] = {}
         self.disconnect_watch = DisconnectWatch(loop)
+        self.read_turns = ReadTurns(loop)
         self.draining = False
         self.admit_until = math.inf  # requests whose last byte is read later are refused
         self.quiesced_at = math.inf  # when an operator quiesced the proxy; infinite while it is not quiesced
--- a/heronreel/proxy/reading_pause.py
+++ b/heronreel/proxy/reading_pause.py
@@ -19,6 +19,7 @@
     RESPONSES_UNREAD = auto()  # the client has not read what was written to it
     REQUESTS_WAITING = auto()  # requests that were read wait for their turn
     INPUT_UNWANTED = auto()  # further input would only be dropped
+    TURN_USED = auto()  # other connections have their turn first
     # Of a backend's connection:
     CLIENT_BLOCKED = auto()  # the client does not take more of the response
     MEMORY_USED_UP = auto()  # there is no memory for the response yet
