--- a/heronreel/proxy/client_connection.py
+++ b/heronreel/proxy/client_connection.py
@@ -404,6 +404,7 @@
         """Parser callback: dispatch the request, or queue it until the previous one has its response."""
         if self.phase is Phase.CLOSING:
             raise UnreadableMessageError
+        self._forward_upload_parts()  # may set a deadline, which the end of the message lifts
         self.phase, self.progress_bytes, self.due_at, self.started_at = Phase.IDLE, 0, math.inf, math.inf
         if self.upload:
             self._finish_upload(self.upload)
@@ -429,7 +430,6 @@
         self.reading_pause.add(PauseReason.REQUESTS_WAITING)
 
     def _finish_upload(self, upload: RequestBodyStream) -> None:
-        self._forward_upload_parts()
         self.upload, self.head = None, None
         upload.finish()
         if self.request:
--- a/tests/proxy/test_paused_reading.py
+++ b/tests/proxy/test_paused_reading.py
@@ -158,3 +158,30 @@
             assert client.upload is upload
 
     run(scenario())
+
+
+def test_a_body_whose_last_bytes_wait_for_its_backend_leaves_its_connection_open(tmp_path: Path) -> None:
+    async def read_then_wait(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            head = await read_head(reader)
+            left = int(head["content-length"])
+            while left:
+                left -= len(await reader.read(min(left, 65536)))
+                await asyncio.sleep(READ_INTERVAL_S)
+            await asyncio.sleep(1.0)  # longer than the proxy waits between two looks at a blocked body
+            writer.write(ok(head["x-request-id"].encode()))
+
+    async def scenario() -> None:
+        backend = Listener(read_then_wait, narrow=True)
+        async with proxy_with_backend(tmp_path, backend, memory_mb=64) as proxy:
+
+            async def send_both(length: int) -> None:
+                reader, writer = await proxy.connect()
+                for ident, size in ((f"a{length}", length), (f"b{length}", 50)):
+                    writer.write(request(ident, body=b"x" * size))
+                    assert await read_response(reader) == ("200", ident.encode())
+                writer.transport.abort()
+
+            await asyncio.gather(*map(send_both, range(MB, MB + 64 * 1024, 8000)))
+
+    run(scenario())
