The time of a request counts from when its body arrived, also if no backend takes it

Cause: the time of a forwarded body began when its last byte was read, and the proxy does not read while the backend takes no more.

While a connection is not read, how much waits in the kernel (FIONREAD) is looked at every 50 ms. The time of a request begins when the rest of its body waits there, or fits behind a full buffer in the client's kernel (4 MiB, tcp_wmem); with an unknown length, once nothing more has come for 1.5 s although there is room. Requests that were sent ahead count from when their input arrived, not from when it was read after a pause.

--- a/heronreel/proxy/client_connection.py
+++ b/heronreel/proxy/client_connection.py
@@ -45,6 +45,7 @@
     response_head,
     split_absolute_form,
 )
+from heronreel.proxy.input_arrival import InputArrival
 from heronreel.proxy.memory_account import MemoryUse
 from heronreel.proxy.read_buffer import SHORT_READ_BYTES
 from heronreel.proxy.reading_pause import PauseReason, ReadingPause
@@ -68,9 +69,9 @@
     """One connection of a client."""
 
     __slots__ = (
-        "admitted", "body", "body_blocked_at", "body_bytes", "brings_long_pieces", "declared_length",
-        "error_reason", "error_status", "fields", "head", "header_bytes", "parser", "read_cost_s",
-        "read_turn", "requests_read", "reserved_bytes", "target", "upload_parts",
+        "admitted", "arrival", "arrived_at", "body", "body_blocked_at", "body_bytes", "brings_long_pieces",
+        "declared_length", "error_reason", "error_status", "fields", "head", "header_bytes", "parser",
+        "read_cost_s", "read_turn", "requests_read", "reserved_bytes", "target", "upload_parts",
     )  # fmt: skip
 
     def __init__(self, listener: ConnectionRegistry[ClientConnection]) -> None:
@@ -89,6 +90,8 @@
         self.header_bytes = self.body_bytes = 0
         self.body_blocked_at = 0.0  # since when the body of a request can't be forwarded
         self.requests_read = 0
+        self.arrival: InputArrival
+        self.arrived_at = 0.0  # by when the bytes of the last read had arrived
         self.brings_long_pieces = False  # whether the last read was a body's content for the most part
         self.read_turn = self.read_cost_s = 0.0
         self.declared_length = 0  # of the body; 0 if it is unknown
@@ -98,6 +101,7 @@
         """Register the connection with the listener."""
         self.transport = cast(asyncio.Transport, transport)
         self.delivery = DeliveryMonitor(self.transport, self.memory)
+        self.arrival = InputArrival(self.transport)
         # With a limit of 0, `pause_writing` is called as soon as the kernel does not take all.
         self.transport.set_write_buffer_limits(high=0)
         self.reading_pause = ReadingPause(self.transport, self._on_pause_changed)
@@ -106,14 +110,25 @@
 
     def _on_pause_changed(self, paused: bool) -> None:
         if paused:
+            self.arrival.check()
             self.listener.disconnect_watch.add(self)
         else:
             self.listener.disconnect_watch.discard(self)
 
-    def close_if_disconnected(self) -> None:
-        """Close the connection if its client has disconnected while it waits for a backend's response."""
-        if self.request and not self.request.streaming:
-            self.has_disconnected()
+    def check_paused(self) -> None:
+        """Look at what has happened to the connection since reading was paused.
+
+        It is closed if its client has disconnected while it waits for a backend's response.  The time of a
+        request counts once the rest of its body has arrived, also if no backend takes it.
+        """
+        if self.request and not self.request.streaming and self.has_disconnected():
+            return
+        self.arrival.check()
+        if self.upload and self.request:
+            missing = self.declared_length - self.body_bytes if self.declared_length else None
+            arrived_at = self.arrival.complete_since(missing, MAX_BODY_PAUSE_S)
+            if arrived_at is not None:
+                self.listener.dispatcher.upload_arrived(self.request, arrived_at)
 
     def is_being_served(self) -> bool:
         """Return whether the client waits for a response or still takes one."""
@@ -132,6 +147,7 @@
         """Parse received bytes, and dispatch the requests that they complete."""
         self.listener.silent.pop(self, None)
         self.unread_at_close = False
+        self.arrived_at = self.arrival.take(len(data))
         if self.upload and self.has_disconnected():
             return  # the backend must not get the rest of the body
         self.progress_bytes += len(data)
@@ -410,7 +426,7 @@
             self._finish_upload(self.upload)
             return
         if self.head:
-            self.head.read_at = time.monotonic()
+            self.head.read_at = self.arrived_at
         read = ReadRequest(self.head, self.error_status, self.body, self.error_reason, self.reserved_bytes)
         self.body, self.head, self.reserved_bytes = b"", None, 0
         self.requests_read += 1
@@ -433,7 +449,7 @@
         self.upload, self.head = None, None
         upload.finish()
         if self.request:
-            self.listener.dispatcher.upload_finished(self.request)
+            self.listener.dispatcher.upload_finished(self.request, self.arrived_at)
 
     def _serve(self, read: ReadRequest) -> None:
         dispatcher = self.listener.dispatcher
--- a/heronreel/proxy/disconnect_watch.py
+++ b/heronreel/proxy/disconnect_watch.py
@@ -1,7 +1,8 @@
-"""Notices that clients disconnect while their connections are not read.
+"""Notices what happens to clients' connections while they are not read.
 
-The event loop reports a disconnect only when it reads.  A client whose reading is paused is therefore polled,
-so that a request that has not begun at its backend never begins long after its client has gone.
+The event loop reports input and a disconnect only when it reads.  A client whose reading is paused is
+therefore polled, so that a request that has not begun at its backend never begins long after its client has
+gone, and so that the time of a request counts from when it arrived.
 """
 
 from __future__ import annotations
@@ -16,8 +17,8 @@
 class PausedClient(Protocol):
     """A client's connection that is not read at present."""
 
-    def close_if_disconnected(self) -> None:
-        """Close the connection if its client waits for a response and has disconnected."""
+    def check_paused(self) -> None:
+        """Look at what has happened to the connection since reading was paused."""
 
 
 class DisconnectWatch:
@@ -41,6 +42,6 @@
     def _check(self) -> None:
         self._timer = None
         for client in list(self._paused):
-            client.close_if_disconnected()
+            client.check_paused()
         if self._paused:
             self._timer = self._loop.call_later(CHECK_INTERVAL_S, self._check)
--- a/heronreel/proxy/dispatcher.py
+++ b/heronreel/proxy/dispatcher.py
@@ -338,15 +338,26 @@
         request_class = head.policy.request_class if head.policy else self.classes.get(head.class_name)
         return request_class is not None and request_class.effect is api.Effect.IDEMPOTENT
 
-    def upload_finished(self, request: Request) -> None:
-        """Start the timeouts of a request and its attempts when the last byte of its upload was read."""
-        if request.finished or not request.upload:
+    def upload_arrived(self, request: Request, arrived_at: float) -> None:
+        """Start the timeout of a request whose upload has arrived whole, though not all of it was read."""
+        if request.finished or request.streaming or not request.upload or request.upload_has_arrived:
             return
+        request.upload_has_arrived = True
         now, timeout_s = time.monotonic(), request.upload.timeout_ms / 1000.0
-        request.deadline = min(now + timeout_s, self.answer_by)
+        request.deadline = min(arrived_at + timeout_s, self.answer_by)
         if request.timer:
             request.timer.cancel()
-        request.timer = self.loop.call_later(request.deadline - now, self._on_deadline, request)
+        request.timer = self.loop.call_later(max(0.0, request.deadline - now), self._on_deadline, request)
+
+    def upload_finished(self, request: Request, arrived_at: float) -> None:
+        """Start the timeouts of the attempts when the last byte of a request's upload was read.
+
+        The timeout of the request counts from `arrived_at`, when that byte had arrived.
+        """
+        if request.finished or not request.upload:
+            return
+        self.upload_arrived(request, arrived_at)
+        now = time.monotonic()
         for attempt in request.attempts:
             attempt.started_at, attempt.ends_at = now, min(attempt.ends_at, request.deadline)
 
--- a/heronreel/proxy/request.py
+++ b/heronreel/proxy/request.py
@@ -92,6 +92,7 @@
         request_id: The client's X-Request-Id.
         upload: Replaces `body` if the body is forwarded while it is being received.
         reserved_bytes: The memory that is held for the request.
+        upload_has_arrived: Whether the deadline counts from the arrival of the last byte of the upload.
         is_idempotent: Whether a second run does no harm.
         may_have_run: Whether an attempt has ended that may have run at its backend.
         streaming: The attempt whose response is forwarded to the client while it is being received.
@@ -111,5 +112,6 @@
     upload: RequestBodyStream | None = None
     streaming: Attempt | None = None
     reserved_bytes: int = 0
+    upload_has_arrived: bool = False
     is_idempotent: bool = False
     may_have_run: bool = False
--- a/heronreel/proxy/socket_state.py
+++ b/heronreel/proxy/socket_state.py
@@ -48,6 +48,11 @@
     return _queued_bytes(transport, termios.TIOCOUTQ)
 
 
+def unread_bytes(transport: Transport) -> int:
+    """Return how many received bytes have not been read, or 0 if this is not known."""
+    return _queued_bytes(transport, termios.FIONREAD)
+
+
 def unsent_bytes(transport: Transport) -> int:
     """Return how many written bytes this kernel has not sent yet, or 0 if this is not known."""
     return _queued_bytes(transport, SIOCOUTQNSD)
--- a/tests/proxy/test_paused_reading.py
+++ b/tests/proxy/test_paused_reading.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import json
+import socket
 import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -185,3 +186,31 @@
             await asyncio.gather(*map(send_both, range(MB, MB + 64 * 1024, 8000)))
 
     run(scenario())
+
+
+@pytest.mark.parametrize("size", [6 * MB, 8 * MB])
+def test_a_body_that_a_backend_takes_too_slowly_is_answered_when_its_time_is_over(
+    tmp_path: Path, size: int
+) -> None:
+    """The body's last bytes wait in the kernel, as the proxy can't pass on what is before them."""
+
+    async def read_very_slowly(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while await reader.read(6400):
+            await asyncio.sleep(0.1)
+
+    async def scenario() -> None:
+        loop = asyncio.get_running_loop()
+        async with proxy_with_backend(tmp_path, Listener(read_very_slowly), memory_mb=64) as proxy:
+            with socket.socket() as connection:
+                connection.setblocking(False)
+                await loop.sock_connect(connection, (proxy.host, proxy.port))
+                whole = request("a1", body=bytes(size), extra="X-Deadline-Ms: 1500\r\n")
+                await loop.sock_sendall(connection, whole)
+                written_at = time.monotonic()
+                answer = await loop.sock_recv(connection, 1024)
+                took_s = time.monotonic() - written_at
+                print(f"{answer[:12]!r} {took_s:.2f} s after the last byte")
+                assert answer[9:12] in (b"503", b"504")
+                assert took_s <= 1.5 + 0.5
+
+    run(scenario())
