A process that comes up at another's address under a new name takes the other's place

With the old name still listed and a new name at the same address, both were used, and what was meant for the old one (the retry of a keyed request within its group, say) went to the process of the new one.

A listed backend at whose address, in the same pool, another name is listed that started later (since_ms) gets nothing more, without the grace of a process that still runs; the balancer is told that it is gone. A connection that comes up after its backend has moved to another address carries no request. Names with the same start are all used, as nothing tells them apart.

Not tried: a late outcome of the old process that is booked on the new one, and the same for a proxy, an agent or the holder of a lease.

--- a/heronreel/proxy/backend_connection.py
+++ b/heronreel/proxy/backend_connection.py
@@ -48,6 +48,10 @@
 MAX_JOINED_BODY_BYTES = 16 << 10
 
 
+# A pool and an address in it.
+Place = tuple[str, tuple[str, int]]
+
+
 class AttemptRequest(Protocol):
     """The part of a request that its attempts use.
 
@@ -143,6 +147,11 @@
     idle: list[BackendConnection] = field(default_factory=list)
     reuse_delay: ReuseDelay = field(default_factory=ReuseDelay)
 
+    @property
+    def place(self) -> Place:
+        """The pool and address, at which only one process can be."""
+        return (self.pool, self.address)
+
 
 @dataclass(slots=True, eq=False)
 class Attempt:
--- a/heronreel/proxy/backend_registry.py
+++ b/heronreel/proxy/backend_registry.py
@@ -4,11 +4,12 @@
 
 import hashlib
 import logging
+import math
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from heronreel.balancer import interface as api
-from heronreel.proxy.backend_connection import Backend
+from heronreel.proxy.backend_connection import Backend, Place
 from heronreel.proxy.connection_pool import ConnectionPool
 from heronreel.proxy.endpoints import Endpoint, EndpointList
 from heronreel.proxy.shared_state import Cordon
@@ -91,6 +92,7 @@
     def update(self, endpoints: EndpointList, kind: api.ListKind, from_file: bool = False) -> None:
         """Apply an endpoint list, or changes of the list."""
         infos = [self._update_endpoint(endpoint) for endpoint in endpoints.endpoints]
+        infos += self._supersede_by_address(infos)
         if endpoints.is_snapshot:
             listed = {info.backend for info in infos}
             missing = [backend for backend in self.backends.values() if backend.number not in listed]
@@ -105,6 +107,29 @@
             kind = api.ListKind.CHANGES
         self.dispatch(api.BackendList(kind, infos))
 
+    def _supersede_by_address(self, updated: list[api.BackendInfo]) -> list[api.BackendInfo]:
+        """Take out the backends at whose address a process that started later is listed under another name.
+
+        Their processes have ended, though no list says so yet; what is sent to them would reach the other.
+        """
+        places = {backend.place for backend in self._listed(info.backend for info in updated)}
+        candidates = [backend for backend in self._listed(self.backends) if backend.place in places]
+        started_ms: dict[Place, float] = {}
+        for backend in candidates:
+            started_ms[backend.place] = max(backend.since_ms, started_ms.get(backend.place, 0.0))
+        superseded = [backend for backend in candidates if backend.since_ms < started_ms[backend.place]]
+        for backend in superseded:
+            self._start_draining(backend)
+            backend.draining_since = -math.inf  # without the grace of a process that still runs
+        return [
+            api.BackendInfo(backend.number, api.BackendState.REMOVED, pool=backend.pool)
+            for backend in superseded
+        ]
+
+    def _listed(self, numbers: Iterable[int]) -> list[Backend]:
+        known = [self.backends[number] for number in numbers if number in self.backends]
+        return [backend for backend in known if backend.listed]
+
     def _update_endpoint(self, endpoint: Endpoint) -> api.BackendInfo:
         number = self._number_for(endpoint.name)
         backend = self.backends.get(number)
--- a/heronreel/proxy/connection_pool.py
+++ b/heronreel/proxy/connection_pool.py
@@ -174,7 +174,9 @@
         backend, now = attempt.backend, time.monotonic()
         # A draining backend gets no new requests after the grace, which a slow connect or a stall of this
         # process may exceed.
-        if backend.cordoned or (not backend.listed and now > backend.draining_since + self.drain_grace_s):
+        is_over = not backend.listed and now > backend.draining_since + self.drain_grace_s
+        # The backend may have moved to another address while the connection was being opened.
+        if backend.cordoned or is_over or connection.address != backend.address:
             connection.transport.abort()
             self.end_attempt(attempt, Outcome.NOT_SENT)
         elif self._must_not_send(attempt, now):
