An attempt whose backend moves while it connects goes to the new address

The connection is opened again, to the new address. tests/serve and the reload and race tests pass, twice.

--- a/heronreel/proxy/connection_pool.py
+++ b/heronreel/proxy/connection_pool.py
@@ -165,6 +165,10 @@
             self.end_attempt(attempt, Outcome.UNREACHABLE)
             return
         if not attempt.ended and not attempt.request.finished:
+            if connection.address != backend.address:  # The backend has moved meanwhile.
+                connection.transport.abort()
+                await self._connect(attempt)
+                return
             self._send(connection, attempt)
             return
         self.release(connection)  # Its handshake is done, so the next attempt may use it.
@@ -174,9 +178,7 @@
         backend, now = attempt.backend, time.monotonic()
         # A draining backend gets no new requests after the grace, which a slow connect or a stall of this
         # process may exceed.
-        is_over = not backend.listed and now > backend.draining_since + self.drain_grace_s
-        # The backend may have moved to another address while the connection was being opened.
-        if backend.cordoned or is_over or connection.address != backend.address:
+        if backend.cordoned or (not backend.listed and now > backend.draining_since + self.drain_grace_s):
             connection.transport.abort()
             self.end_attempt(attempt, Outcome.NOT_SENT)
         elif self._must_not_send(attempt, now):
