The time in which a stream is not read is no silence of its backend

The check of a stream's silence compared the bytes over an interval in which the proxy itself did not read, as the client took no more; if reading was resumed just before the check, and nothing read yet, the response was ended.

--- a/heronreel/proxy/backend_connection.py
+++ b/heronreel/proxy/backend_connection.py
@@ -223,7 +223,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Count the new connection in the pool."""
         self.transport = cast(asyncio.Transport, transport)
-        self.reading_pause = ReadingPause(self.transport)
+        self.reading_pause = ReadingPause(self.transport, self._on_pause_changed)
         self.delivery = DeliveryMonitor(self.transport)
         # With a limit of 0, `resume_writing` is called when everything has been written.
         self.transport.set_write_buffer_limits(high=0)
@@ -354,9 +354,7 @@
             self.reading_pause.add(PauseReason.MEMORY_USED_UP)
             self.pool.waiting_for_memory[self] = None
         elif self.silence_timer is None:
-            self.silence_timer = self.pool.loop.call_later(
-                MAX_SILENCE_S, self._check_silence, self.received_bytes
-            )
+            self._watch_silence()
 
     def _hold(self, size: int) -> bool:
         """Hold `size` bytes of memory in all for the response; return whether there is enough."""
@@ -436,11 +434,20 @@
         if self.sink is None:  # No client is waiting for the response.
             self.pool.abandon_attempt(attempt, Outcome.CANCELLED)
         elif self.silence_timer is None:
-            self.silence_timer = self.pool.loop.call_later(
-                MAX_STREAM_SILENCE_S, self._check_silence, self.received_bytes
-            )
+            self._watch_silence()
         return True
 
+    def _on_pause_changed(self, paused: bool) -> None:
+        # The time of a pause must not count when reading is resumed just before the next check.
+        if not paused and self.silence_timer:
+            self.silence_timer.cancel()
+            self._watch_silence()
+
+    def _watch_silence(self) -> None:
+        """Check after the longest silence that is allowed whether more of the response was received."""
+        delay_s = MAX_STREAM_SILENCE_S if self.sink else MAX_SILENCE_S
+        self.silence_timer = self.pool.loop.call_later(delay_s, self._check_silence, self.received_bytes)
+
     def _check_silence(self, received_bytes: int) -> None:
         """Handle a response that stops half-way while its connection stays open.
 
@@ -460,8 +467,7 @@
             if self.sink is None:
                 self.pool.observer.attempt_stalled(attempt)
         if self.attempt is attempt:
-            delay_s = MAX_STREAM_SILENCE_S if self.sink else MAX_SILENCE_S
-            self.silence_timer = self.pool.loop.call_later(delay_s, self._check_silence, self.received_bytes)
+            self._watch_silence()
 
     def _has_failed_by_silence(self, attempt: Attempt) -> bool:
         if self.sink is not None:
