--- a/heronreel/proxy/__main__.py
+++ b/heronreel/proxy/__main__.py
@@ -15,6 +15,7 @@
 
 import uvloop
 
+from heronreel.proxy import shared_state
 from heronreel.proxy.client_listener import ClientListener
 from heronreel.proxy.config import Config, load
 from heronreel.proxy.dispatcher import Dispatcher
@@ -32,6 +33,8 @@
 # How long a process waits for a list from a local agent, which responds unless discovery is down.
 PUSHED_LIST_TIMEOUT_S = 1.0
 POLL_INTERVAL_S = 0.02
+# By then the predecessor has noticed a successor and told the ids of its requests, also if it was held up.
+IDS_TOLD_WITHIN_S = 3 * shared_state.POLL_INTERVAL_S
 EXIT_UNUSABLE = 2  # the configuration or an address can't be used
 
 log = logging.getLogger(__name__)
@@ -54,6 +57,7 @@
     dispatcher = Dispatcher(loop, config)
     clients = ClientListener(loop, config, dispatcher)
     inherited, shared = inherited_descriptor(os.environ), open_shared_state(os.environ, config)
+    registered_at = time.monotonic()
     ready = asyncio.Event()
     admin = None
     if config.admin_address:
@@ -61,6 +65,7 @@
     if inherited is not None and shared and shared.other_processes():
         # The predecessor serves until this process has a list from discovery too.
         await _wait_for_list(dispatcher, SUCCESSOR_LIST_TIMEOUT_S, stop)
+        await asyncio.sleep(max(0.0, registered_at + IDS_TOLD_WITHIN_S - time.monotonic()))
     elif config.discovery and not config.settings.watch_list:
         # Draining backends must get no new requests.  The agent's list counts as notified from the start of
         # this process, and the list in the file may be old.
--- a/heronreel/proxy/dispatcher.py
+++ b/heronreel/proxy/dispatcher.py
@@ -82,9 +82,8 @@
         self.watch = self._make_watch(config)
         self.requests: dict[int, Request] = {}  # Requests that are unfinished or have attempts in flight.
         self.request_ids: set[bytes] = set()  # The clients' ids of the same requests.
-        self.recent_ids = (
-            RecentRequestIds()
-        )  # The ids of those that may have run, unless they are idempotent.
+        # The ids of those that may have run, unless they are idempotent.
+        self.recent_ids = RecentRequestIds()
         self.memory_limits = MemoryLimits(config.memory_bytes)
         self.base_backends = 0  # Backends that were known when the base memory was measured.
         self.memory = MemoryAccount(self.memory_limits.held_bytes())
