--- a/bench/fingerprints.py
+++ b/bench/fingerprints.py
@@ -22,6 +22,7 @@
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
 from tests.compatibility.fingerprints import (
+    ARCHITECTURE_FILE,
     EXPLORED,
     FILE,
     REHEARSALS,
@@ -76,6 +77,8 @@
     parser.add_argument("--kit", type=Path, default=Path("../given/kit"), help="omitted if it does not exist")
     parser.add_argument("--write", action="store_true", help="write the file instead of comparing with it")
     options = parser.parse_args()
+    if options.write and ARCHITECTURE_FILE.exists():
+        parser.error(f"--write: {FILE.name} is written on x86-64; this machine has {ARCHITECTURE_FILE.name}")
     names = [f"rehearsal: {name}" for name in reversed(REHEARSALS)]  # the longest one first
     now = compute_fingerprints([*names, *(EXPLORED if options.all or options.write else SMALL)])
     now[TESTS] = {"collected": count_tests()}
