--- a/review/9/case.py
+++ b/review/10/case.py
@@ -1,4 +1,4 @@
-"""Case 9: an operation reports a proxy as drained that takes clients all the time.
+"""Case 10: an operation reports a proxy as drained that takes clients all the time.
 
 The agent's call to quiesce the proxy is lost.  The agent logs that and does not repeat the call, but reports
 the proxy as out of service, and the operation ends with success.
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,7 +5,7 @@
 set -eu
 cd "$(CDPATH='' cd -- "$(dirname -- "$0")" && pwd)/.."
 bin/heronreel fleet --help > /dev/null
-.venv/bin/python - review/harness2/standins/*.py review/[6-9]/case.py <<'CHECK'
+.venv/bin/python - review/harness2/standins/*.py review/[6-9]/case.py review/10/case.py <<'CHECK'
 import sys
 
 for name in sys.argv[1:]:
--- a/review/harness2/standins/http.py
+++ b/review/harness2/standins/http.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from standins.ports import LOOPBACK
 
@@ -29,18 +29,29 @@
         return self.fields.get("connection", "").lower() == "close"
 
 
-async def read_message(reader: asyncio.StreamReader) -> Message:
-    """Read one message with a Content-Length or without a body.
+async def read_head(reader: asyncio.StreamReader) -> Message:
+    """Read the head of one message.
 
     Raises:
-        asyncio.IncompleteReadError: The connection ended before the end of the message.
+        asyncio.IncompleteReadError: The connection ended before the end of the head.
         OSError: The connection was reset.
     """
     first_line, *lines = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")[:-2]
     parts = (line.partition(":") for line in lines)
     fields = {name.lower(): value.strip() for name, _, value in parts}
-    body = await reader.readexactly(int(fields.get("content-length", "0")))
-    return Message(first_line, fields, body)
+    return Message(first_line, fields, b"")
+
+
+async def read_message(reader: asyncio.StreamReader) -> Message:
+    """Read one message with a Content-Length or without a body.
+
+    Raises:
+        asyncio.IncompleteReadError: The connection ended before the end of the message.
+        OSError: The connection was reset.
+    """
+    head = await read_head(reader)
+    body = await reader.readexactly(int(head.fields.get("content-length", "0")))
+    return replace(head, body=body)
 
 
 def response(status: str, body: bytes = b"") -> bytes:
