--- a/heronreel/proxy/__main__.py
+++ b/heronreel/proxy/__main__.py
@@ -9,7 +9,7 @@
 import signal
 import sys
 import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -62,14 +62,15 @@
     admin = None
     if config.admin_address:
         admin = _start_admin_api(loop, config.admin_address, dispatcher, clients, shared, ready)
-    if inherited is not None and shared and shared.other_processes():
+    if inherited is not None and shared and _finds_any(shared.other_serving_processes):
         # The predecessor serves until this process has a list from discovery too.
         await _wait_for_list(dispatcher, SUCCESSOR_LIST_TIMEOUT_S, stop)
-        await asyncio.sleep(max(0.0, registered_at + IDS_TOLD_WITHIN_S - time.monotonic()))
     elif config.discovery and not config.settings.watch_list:
         # Draining backends must get no new requests.  The agent's list counts as notified from the start of
         # this process, and the list in the file may be old.
         await _wait_for_list(dispatcher, PUSHED_LIST_TIMEOUT_S, stop)
+    if shared and _finds_any(shared.other_processes):
+        await asyncio.sleep(max(0.0, registered_at + IDS_TOLD_WITHIN_S - time.monotonic()))
     dispatcher.measure_base_memory()
     log.info("listening on %s:%d", *clients.listen(config.listen, inherited), extra=NOT_RATE_LIMITED)
     ready.set()
@@ -80,15 +81,35 @@
     )
     reloading = loop.create_task(_reload_on_signal(reload, dispatcher, clients))
     signalled_at = await stop
-    if shared:
-        shared.unregister_process()
-    has_successor = inherited is not None and bool(shared and shared.other_processes())
+    has_successor = _begin_draining(shared) and inherited is not None
     await drain(clients, signalled_at, has_successor)
     if admin:
         await admin.close()
+    if shared:
+        shared.unregister_process()
     reloading.cancel()
 
 
+def _begin_draining(shared: SharedState | None) -> bool:
+    """Tell the proxy's other processes that this one drains, and return whether another one serves."""
+    if shared is None:
+        return False
+    try:
+        shared.begin_draining()
+    except OSError as error:
+        log.error("shared folder: %s; other processes may take this one for a successor", error)
+    return _finds_any(shared.other_serving_processes)
+
+
+def _finds_any(find_processes: Callable[[], list[int]]) -> bool:
+    """Return whether a look at the shared folder finds a process; a failure is logged and finds none."""
+    try:
+        return bool(find_processes())
+    except OSError as error:
+        log.error("shared folder: %s; no other process is known", error)
+        return False
+
+
 def inherited_descriptor(environ: Mapping[str, str]) -> int | None:
     """Return the descriptor of an inherited listening socket, which the parent keeps open for successors."""
     number = environ.get("LB_ACCEPT_FD", "")
--- a/heronreel/proxy/shared_state.py
+++ b/heronreel/proxy/shared_state.py
@@ -5,6 +5,9 @@
 temporary name and renamed, so that no process reads a partly written file.  No lock is needed because no file
 combines values that two operators change independently.  Each process polls often enough to see a cordon well
 within the grace period for draining backends.
+
+The file of a process is renamed when it begins to drain.  A draining process accepts no connections, but it
+uses memory and descriptors and takes requests until it ends.
 """
 
 from __future__ import annotations
@@ -24,6 +27,7 @@
 MAX_CORDONS = 4096  # bounds the number of files in the folder
 CORDON_PREFIX = "hold-"
 PROCESS_PREFIX = "process-"
+DRAINING_PREFIX = "draining-"
 QUIESCED_FILE = "emptying"
 
 
@@ -46,6 +50,8 @@
         self.folder = folder
         # For each file name: its inode and modification time, and the cordon that it holds.
         self.cache: dict[str, tuple[tuple[int, int], Cordon | None]] = {}
+        # The other processes that ran at the last look.  Some versions remove their file before they end.
+        self._known_processes: set[int] = set()
         folder.mkdir(mode=0o700, parents=True, exist_ok=True)
         self.request_ids = SharedIdFiles(folder)
 
@@ -76,23 +82,38 @@
         """Register this process; other processes ignore the file once this process has ended."""
         self._write(f"{PROCESS_PREFIX}{os.getpid()}", "")
 
+    def begin_draining(self) -> None:
+        """Tell the other processes that this one drains: it accepts no more connections, but runs on."""
+        name = str(os.getpid())
+        (self.folder / (PROCESS_PREFIX + name)).replace(self.folder / (DRAINING_PREFIX + name))
+
     def unregister_process(self) -> None:
-        """Remove the registration of this process."""
-        with suppress(OSError):
-            (self.folder / f"{PROCESS_PREFIX}{os.getpid()}").unlink()
+        """Remove the registration of this process, which is about to end."""
+        for prefix in (PROCESS_PREFIX, DRAINING_PREFIX):
+            with suppress(OSError):
+                (self.folder / f"{prefix}{os.getpid()}").unlink()
 
     def other_processes(self) -> list[int]:
-        """Return the ids of the proxy's other running processes."""
-        running = []
-        for file in os.listdir(self.folder):
-            number = file.removeprefix(PROCESS_PREFIX)
-            if number != file and number.isdigit() and int(number) != os.getpid():
-                if _is_running(int(number)):
-                    running.append(int(number))
-                else:
-                    with suppress(OSError):
-                        (self.folder / file).unlink()
-        return running
+        """Return the ids of the proxy's other running processes, whether they serve or drain."""
+        registered = self._registered(PROCESS_PREFIX) | self._registered(DRAINING_PREFIX)
+        self._known_processes = {
+            process for process in registered | self._known_processes if _is_running(process)
+        }
+        for ended in registered - self._known_processes:
+            for prefix in (PROCESS_PREFIX, DRAINING_PREFIX):
+                with suppress(OSError):
+                    (self.folder / f"{prefix}{ended}").unlink()
+        return sorted(self._known_processes)
+
+    def other_serving_processes(self) -> list[int]:
+        """Return the ids of the proxy's other running processes that have not begun to drain."""
+        serving = self._registered(PROCESS_PREFIX)
+        return [process for process in self.other_processes() if process in serving]
+
+    def _registered(self, prefix: str) -> set[int]:
+        """Return the ids of the other processes that have a file with this prefix."""
+        numbers = {file.removeprefix(prefix) for file in os.listdir(self.folder) if file.startswith(prefix)}
+        return {int(number) for number in numbers if number.isdigit()} - {os.getpid()}
 
     def descriptors_in_use_elsewhere(self) -> int:
         """Return how many descriptors the proxy's other processes use, with `SPARE_DESCRIPTORS` for each."""
--- a/tests/proxy/test_admin_api.py
+++ b/tests/proxy/test_admin_api.py
@@ -6,9 +6,10 @@
 import json
 import signal
 import socket
+import subprocess
 import time
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager
 from pathlib import Path
 from typing import Any, ClassVar
 
@@ -345,3 +346,51 @@
                         assert 100 < highest <= 160
 
     run(scenario())
+
+
+def test_a_draining_process_counts_for_the_descriptor_limit_of_its_successor(tmp_path: Path) -> None:
+    """The successor took the whole limit at SIGTERM, while its predecessor still had its connections."""
+
+    async def scenario() -> None:
+        async with Backend() as backend1, AsyncExitStack() as stack:
+            known = [entry("b1", backend1.address)]
+            discovery = await stack.enter_async_context(Discovery(*known))
+            shared = stack.enter_context(socket.socket())
+            shared.bind(("127.0.0.1", 0))
+            shared.listen(512)
+            config = configuration(discovery.address, *known, sockets=160)
+            old = await stack.enter_async_context(running_proxy(tmp_path, config, True, shared))
+            writers = []
+            for _ in range(60):
+                _, writer = await old.connect()
+                writers.append(writer)
+                writer.write(b"POST /save/")  # an incomplete head: the connection is not silent
+            new = await stack.enter_async_context(running_proxy(tmp_path, config, True, shared))
+            while await new.health() != "200":
+                await asyncio.sleep(0.01)
+            old.signal(signal.SIGTERM)
+            while await old.health() != "503":
+                await asyncio.sleep(0.01)
+            highest = 0
+            for _ in range(200):
+                _, writer = await new.connect()
+                writers.append(writer)
+                writer.write(b"POST /save/")
+                highest = max(highest, old.descriptors() + new.descriptors())
+                await asyncio.sleep(0.002)  # the processes look at each other every 0.1 s
+            assert old.process.returncode is None
+            assert 100 < highest <= 160
+
+    run(scenario())
+
+
+def test_a_process_without_a_file_in_the_shared_folder_counts_until_it_ends(tmp_path: Path) -> None:
+    """Some versions remove their file at SIGTERM and serve on."""
+    shared = SharedState(tmp_path / "s")
+    with subprocess.Popen(["/bin/cat"], stdin=subprocess.PIPE) as process:
+        file = tmp_path / "s" / f"process-{process.pid}"
+        file.touch()
+        assert shared.other_processes() == shared.other_serving_processes() == [process.pid]
+        file.unlink()
+        assert shared.other_processes() == [process.pid] and shared.other_serving_processes() == []
+    assert shared.other_processes() == []
--- a/tests/proxy/test_reused_request_ids.py
+++ b/tests/proxy/test_reused_request_ids.py
@@ -3,14 +3,23 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 from collections import Counter
+from contextlib import AsyncExitStack
 from pathlib import Path
 
 import pytest
 
 from heronreel.proxy.recent_ids import DIGEST_BYTES, MAX_REMEMBERED, RecentRequestIds
 from heronreel.proxy.shared_ids import SharedIdFiles
-from tests.support.lifecycle import named, shared_socket, until_health, until_seen, with_unsafe_class
+from tests.support.lifecycle import (
+    KeptConnection,
+    named,
+    shared_socket,
+    until_health,
+    until_seen,
+    with_unsafe_class,
+)
 from tests.support.loopback import (
     Backend,
     Discovery,
@@ -23,6 +32,7 @@
 )
 
 AFTER_RESPONSE_S = 0.6
+AFTER_POLLS_S = 0.3  # the processes have looked at each other since
 
 
 async def send_and_leave(proxy: ProxyProcess, backend: Backend, ident: str, klass: str) -> None:
@@ -75,6 +85,41 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("starts", ["before SIGTERM", "during the drain"])
+def test_an_id_that_a_draining_process_takes_does_not_run_at_its_successor(
+    tmp_path: Path, starts: str
+) -> None:
+    """The successor took a predecessor that drained for one that had ended."""
+
+    async def scenario() -> None:
+        async with named("b") as backend, Discovery() as discovery, AsyncExitStack() as stack:
+            discovery.entries = [entry("b1", backend.address)]
+            config = with_unsafe_class(configuration(discovery.address, *discovery.entries))
+            with shared_socket() as first, shared_socket() as second:
+                old = await stack.enter_async_context(running_proxy(tmp_path, config, True, first))
+                successor = running_proxy(tmp_path, config, True, second)
+                if starts == "before SIGTERM":
+                    new = await stack.enter_async_context(successor)
+                    await until_health(new, "200")
+                kept = KeptConnection(old)
+                await kept.open("k1")
+                old.signal(signal.SIGTERM)
+                await until_health(old, "503")
+                if starts == "during the drain":
+                    await kept.send("h1")
+                    new = await stack.enter_async_context(successor)
+                    await until_health(new, "200")
+                else:
+                    await asyncio.sleep(AFTER_POLLS_S)
+                    await kept.send("h1")
+                await until_seen(backend, "h1")
+                assert await send_again(new, "h1", "save") == "400"
+                assert Counter(backend.seen) == {"k1": 1, "h1": 1}
+                assert old.process.returncode is None
+
+    run(scenario())
+
+
 def test_the_number_of_remembered_ids_is_bounded_and_the_newest_are_kept() -> None:
     ids = RecentRequestIds()
     for number in range(MAX_REMEMBERED + 10):
--- a/tests/support/memory_load.py
+++ b/tests/support/memory_load.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass, field
 from itertools import count
 from pathlib import Path
+from typing import Any
 
 from tests.support.loopback import (
     Discovery,
@@ -42,6 +43,8 @@
 SHORT_RESPONSE_BYTES = 60 * KB
 DEADLINE = "X-Deadline-Ms: 2500\r\n"
 USUAL_INTERVAL_S = 0.05
+METER_INTERVAL_S = 0.01
+REFUSED_PAUSE_S = 0.2  # before a client sends again after a refusal
 
 
 def _fields(number: int, size: int) -> str:
@@ -77,6 +80,10 @@
     return request(f"late-{ident}", body=b"x" * 60_000, extra=DEADLINE)
 
 
+def _long_waiting_body(ident: str) -> bytes:
+    return request(f"late-{ident}", body=b"x" * 150_000, extra=DEADLINE)
+
+
 def _upload(ident: str) -> bytes:
     whole = request(f"upload-{ident}", body=b"", extra=DEADLINE)
     return whole.replace(b"Content-Length: 0", b"Content-Length: %d" % (UPLOAD_PARTS * len(PART)))
@@ -156,16 +163,22 @@
 
 
 @asynccontextmanager
-async def proxy_with_backends(path: Path, memory_mb: int, sockets: int) -> AsyncIterator[ProxyProcess]:
-    """Run a proxy with discovery and slow backends."""
+async def slow_backends(memory_mb: int, sockets: int) -> AsyncIterator[dict[str, Any]]:
+    """Run discovery and slow backends, and return the configuration of a proxy."""
     async with AsyncExitStack() as stack:
         backends = [
             await stack.enter_async_context(Listener(_serve_backend_connection)) for _ in range(BACKENDS)
         ]
         known = [entry(f"b{number}", backend.address) for number, backend in enumerate(backends)]
         discovery = await stack.enter_async_context(Discovery(*known))
-        config = configuration(discovery.address, *known, memory_mb=memory_mb, sockets=sockets)
-        yield await stack.enter_async_context(running_proxy(path, config))
+        yield configuration(discovery.address, *known, memory_mb=memory_mb, sockets=sockets)
+
+
+@asynccontextmanager
+async def proxy_with_backends(path: Path, memory_mb: int, sockets: int) -> AsyncIterator[ProxyProcess]:
+    """Run a proxy with discovery and slow backends."""
+    async with slow_backends(memory_mb, sockets) as config, running_proxy(path, config) as proxy:
+        yield proxy
 
 
 def peak_kb(proxy: ProxyProcess) -> int:
@@ -176,6 +189,30 @@
     return int(found[1])
 
 
+def proportional_set_kb(proxy: ProxyProcess) -> int:
+    """Return the memory of a process in KiB, a shared page divided among its users; 0 once it has ended."""
+    try:
+        rollup = Path(f"/proc/{proxy.process.pid}/smaps_rollup").read_text()
+    except OSError:
+        return 0
+    found = re.search(r"^Pss:\s+(\d+) kB", rollup, re.MULTILINE)
+    return int(found[1]) if found else 0
+
+
+@dataclass
+class MemoryMeter:
+    """Samples what processes use together; `peak_kb` is the most of it, in KiB."""
+
+    processes: list[ProxyProcess]
+    peak_kb: int = 0
+
+    async def run(self) -> None:
+        """Sample until cancelled."""
+        while True:
+            self.peak_kb = max(self.peak_kb, sum(map(proportional_set_kb, self.processes)))
+            await asyncio.sleep(METER_INTERVAL_S)
+
+
 @dataclass
 class Crowd:
     """Clients of one or more kinds, and a usual client beside them."""
@@ -202,6 +239,23 @@
             writer.transport.abort()
         self.statuses[status] += 1
 
+    async def keep_sending(self, clients: int, until: float) -> None:
+        """Let clients send one long request after the other, each on a new connection."""
+        await asyncio.gather(*(self._send_until(until) for _ in range(clients)))
+
+    async def _send_until(self, until: float) -> None:
+        while asyncio.get_running_loop().time() < until:
+            status = "none"
+            with suppress(OSError, TimeoutError):
+                reader, writer = await self.proxy.connect()
+                async with asyncio.timeout(MAX_CLIENT_S):
+                    writer.write(_long_waiting_body(f"{next(self.numbers)}"))
+                    status = (await read_response(reader))[0]
+                writer.transport.abort()
+            self.statuses[status] += 1
+            if status != "200":
+                await asyncio.sleep(REFUSED_PAUSE_S)
+
     async def _client(self, kind: Kind) -> None:
         loop = asyncio.get_running_loop()
         with socket.socket() as connection, suppress(OSError, TimeoutError):
