--- a/heronreel/fleet/agent_server.py
+++ b/heronreel/fleet/agent_server.py
@@ -26,7 +26,7 @@
 from heronreel.fleet.agent_settings import AgentSettings
 from heronreel.fleet.budget_client import report_instance
 from heronreel.fleet.errors import InvalidCommandError
-from heronreel.fleet.lifecycle_messages import Command
+from heronreel.fleet.lifecycle_messages import Command, DesiredState
 from heronreel.fleet.process_supervisor import ProcessSupervisor
 from heronreel.leases.lease import LeaseTerms
 from heronreel.leases.session import LeaseSession
@@ -122,6 +122,9 @@
         supervisor = self.supervisors.get(command.instance)
         if supervisor is None:
             return _json_response(ErrorResponse(f"no instance {command.instance!r} here"), 404)
+        if command.desired_state is DesiredState.DRAINED and not supervisor.instance.mgmt:
+            problem = f"{command.instance!r} has no management address, so it can't be drained"
+            return _json_response(ErrorResponse(problem), 400)
         result = await supervisor.command(
             Command(command.fencing_token, command.sequence, command.desired_state, command.version)
         )
--- a/heronreel/fleet/instance_lifecycle.py
+++ b/heronreel/fleet/instance_lifecycle.py
@@ -9,6 +9,9 @@
 
 A process is identified by its pid and its start time.  An agent that was killed and restarted therefore takes
 over its own process, and never a later process that was given the same pid.
+
+A process is reported as out of service only once it has confirmed that it is quiesced, and no longer when its
+health check says that it takes clients.  A call to quiesce or resume it is repeated until it is confirmed.
 """
 
 from __future__ import annotations
@@ -39,19 +42,20 @@
 # a process that stays in one stage for this long resets the backoff to its minimum
 STABLE_AFTER_S = 60.0
 
-OUT_OF_SERVICE_STAGES = (
-    ProcessStage.DRAINING,
-    ProcessStage.DRAINED,
-    ProcessStage.TERMINATING,
-    ProcessStage.KILLED,
-)
+QUIESCE_RETRY_S = 0.5  # delay after a call to quiesce or resume that was not confirmed
+
+DRAIN_STAGES = (ProcessStage.DRAINING, ProcessStage.DRAINED)
+TERMINATION_STAGES = (ProcessStage.TERMINATING, ProcessStage.KILLED)
+# the stages in which the process can be quiesced and resumed
+MANAGED_STAGES = (ProcessStage.STARTING, ProcessStage.READY, *DRAIN_STAGES)
 
 
 class InstanceLifecycle:
     """The state machine of one instance.
 
-    The caller executes the actions and reports events: `command`, `persisted`, `started`, `ready`, `drained`
-    and `exited`.  It calls `tick` no later than the time that `wake` returns.  All times are seconds on one
+    The caller executes the actions and reports events: `command`, `persisted`, `started`, `ready`, `exited`
+    and `health_checked`, and one of `quiesce_confirmed`, `quiesce_failed` and `quiesce_unavailable` for each
+    `SetQuiesced`.  It calls `tick` no later than the time that `wake` returns.  All times are seconds on one
     monotonic clock.
     """
 
@@ -84,9 +88,18 @@
         self.unpersisted: list[PersistedState] = []  # states that are not durable yet, oldest first
         # the result of an accepted command, held back until the command is durable
         self.pending_result: CommandResult | None = None
+        # Whether the process is quiesced, as it confirmed or its health check showed; None if unknown.
+        self.is_quiesced: bool | None = None
+        self.quiesced_since = now  # time of that confirmation
+        self.wanted_quiesced: bool | None = None  # what a call has to reach; None if no call is due
+        self.quiesce_call_pending = False  # a call was made and its result is not known yet
+        self.quiesce_call_due = now
         self.stage = ProcessStage.NONE
         if state.process is not None and alive and self.guards.single_process:
             self.stage = ProcessStage.STARTING  # until the process reports that it is ready
+            if self._stays_drained(state.process):  # its health check says no, as it should
+                self.stage = ProcessStage.DRAINING
+                self.wanted_quiesced = True
 
     @property
     def process(self) -> ProcessIdentity | None:
@@ -98,12 +111,21 @@
         """The condition that is reported to the group."""
         if self.stage is ProcessStage.READY:
             return Condition.SERVING
-        if self.stage in OUT_OF_SERVICE_STAGES:
+        if self.stage in DRAIN_STAGES:
+            return self._drain_condition()
+        if self.stage in TERMINATION_STAGES:
             return Condition.OUT_OF_SERVICE
         if self.stage is ProcessStage.NONE and self.durable_state.desired_state is DesiredState.STOPPED:
             return Condition.OUT_OF_SERVICE
         return Condition.FAILED if self.failures else Condition.UNKNOWN
 
+    def _drain_condition(self) -> Condition:
+        if not self.guards.confirmed_quiesce:
+            return Condition.OUT_OF_SERVICE
+        if self.is_quiesced is None:
+            return Condition.UNKNOWN
+        return Condition.OUT_OF_SERVICE if self.is_quiesced else Condition.SERVING
+
     def observe(self) -> Observation:
         """Make a new observation to report.
 
@@ -126,7 +148,8 @@
             ProcessStage.DRAINING: self.timeouts.drain,
             ProcessStage.TERMINATING: self.timeouts.termination,
         }.get(self.stage)
-        return float("inf") if timeout is None else self.stage_since + timeout
+        stage_ends_at = float("inf") if timeout is None else self.stage_since + timeout
+        return min(stage_ends_at, self.quiesce_call_due) if self._needs_quiesce_call() else stage_ends_at
 
     # -- events
 
@@ -160,23 +183,60 @@
 
     def started(self, now: float, process: ProcessIdentity) -> Actions:
         """The process was started; its identity is persisted so that a restarted agent finds it."""
+        self.is_quiesced = self.wanted_quiesced = None
         self._enter(ProcessStage.STARTING, now)
         return self._persist(msgspec.structs.replace(self._latest_state(), process=process))
 
     def ready(self, now: float, version: str) -> Actions:
-        """The process, which runs this version, reports that it serves."""
+        """The process, which runs this version, reports that it serves.
+
+        While the result of a call to quiesce or resume it is not known, the report may be outdated.
+        """
         is_current = self.process is not None and self.process.version == version
-        if self.stage is not ProcessStage.STARTING or not is_current:
+        if self.stage is not ProcessStage.STARTING or not is_current or self.quiesce_call_pending:
             return []
         self._enter(ProcessStage.READY, now)
         return self.tick(now)
 
-    def drained(self, now: float) -> Actions:
-        """A draining process has no clients left."""
+    def quiesce_confirmed(self, now: float, quiesced: bool) -> Actions:
+        """The process has confirmed that it is quiesced, or that it has resumed."""
+        self.quiesce_call_pending = False
+        self.is_quiesced, self.quiesced_since = quiesced, now
+        if self.wanted_quiesced is quiesced:
+            self.wanted_quiesced = None
+        return self.tick(now)
+
+    def quiesce_failed(self, now: float, quiesced: bool) -> Actions:
+        """A call to quiesce or resume the process was rejected or got no response.
+
+        The call may have been executed all the same, so it is repeated, and the state is unknown until then.
+        """
+        self.quiesce_call_pending = False
+        if self.wanted_quiesced is quiesced:
+            self.quiesce_call_due = now + QUIESCE_RETRY_S
+        return self.tick(now)
+
+    def quiesce_unavailable(self, now: float) -> Actions:
+        """The process can't be quiesced or resumed; its graceful shutdown drains it."""
+        self.quiesce_call_pending = False
+        self.wanted_quiesced = None
         if self.stage is ProcessStage.DRAINING:
             self._enter(ProcessStage.DRAINED, now)
         return self.tick(now)
 
+    def health_checked(self, asked_at: float, now: float, takes_clients: bool) -> Actions:
+        """The response to a health check of a process that drains, which was sent at `asked_at`."""
+        was_confirmed_since = self.is_quiesced is not None and asked_at < self.quiesced_since
+        if self.stage not in DRAIN_STAGES or self.quiesce_call_pending or was_confirmed_since:
+            return []
+        if takes_clients:
+            self.is_quiesced, self.quiesced_since = False, now
+            if self.stage is ProcessStage.DRAINING and self.wanted_quiesced is None:
+                self._want_quiesced(True, now)
+        elif self.is_quiesced is False:
+            self.is_quiesced = None  # it may be about to take clients again
+        return self.tick(now)
+
     def exited(self, now: float, reason: str) -> Actions:
         """The process has exited, or could not be started."""
         if self.stage in (ProcessStage.TERMINATING, ProcessStage.KILLED):
@@ -199,11 +259,14 @@
         process = self.process
         if process is None:
             return []  # the process is being started
+        return self._tick_stage(process, now) + self._call_if_due(now)
+
+    def _tick_stage(self, process: ProcessIdentity, now: float) -> Actions:
         if self.stage is ProcessStage.STARTING:
             return self._tick_starting(process, now)
         if self.stage is ProcessStage.READY:
             return self._tick_ready(process, now)
-        if self.stage in (ProcessStage.DRAINING, ProcessStage.DRAINED):
+        if self.stage in DRAIN_STAGES:
             return self._tick_draining(process, now)
         if self.stage is ProcessStage.TERMINATING and now >= self.stage_since + self.timeouts.termination:
             self._enter(ProcessStage.KILLED, now)
@@ -233,18 +296,36 @@
                 self.failures = 0
             return []
         self._enter(ProcessStage.DRAINING, now)
-        return [SetQuiesced(True)]
+        self.is_quiesced = None
+        self._want_quiesced(True, now)
+        return []
 
     def _tick_draining(self, process: ProcessIdentity, now: float) -> Actions:
         if self._is_desired(process):
             self._enter(ProcessStage.STARTING, now)  # until the process reports that it serves again
-            return [SetQuiesced(False)]
+            self._want_quiesced(False, now)
+            return []
         timed_out = now >= self.stage_since + self.timeouts.drain
         drain_ended = self.stage is ProcessStage.DRAINED or timed_out
         if drain_ended and not self._stays_drained(process):
             return self._terminate(process, now)
         return []
 
+    def _want_quiesced(self, quiesced: bool, now: float) -> None:
+        self.wanted_quiesced = quiesced
+        self.quiesce_call_due = now
+
+    def _needs_quiesce_call(self) -> bool:
+        """Whether a call is due now or later; calls are made one at a time, so that they keep their order."""
+        wanted = self.wanted_quiesced is not None and not self.quiesce_call_pending
+        return wanted and self.process is not None and self.stage in MANAGED_STAGES
+
+    def _call_if_due(self, now: float) -> Actions:
+        if self.wanted_quiesced is None or not self._needs_quiesce_call() or now < self.quiesce_call_due:
+            return []
+        self.quiesce_call_pending = True
+        return [SetQuiesced(self.wanted_quiesced)]
+
     def _is_desired(self, process: ProcessIdentity) -> bool:
         running = self.durable_state.desired_state is DesiredState.RUNNING
         return running and self._is_desired_version(process)
--- a/heronreel/fleet/lifecycle_messages.py
+++ b/heronreel/fleet/lifecycle_messages.py
@@ -71,6 +71,7 @@
     durable: bool = True  # a command is acknowledged only once it is durable
     ordered: bool = True  # an older command is rejected
     single_process: bool = True  # no second process is started while one is alive
+    confirmed_quiesce: bool = True  # a draining process is out of service only once it is quiesced
 
 
 class Persist(NamedTuple):
@@ -101,7 +102,10 @@
 
 
 class SetQuiesced(NamedTuple):
-    """Make the process stop or resume accepting new clients."""
+    """Make the process stop or resume accepting new clients, then report the result.
+
+    The result is `quiesce_confirmed`, `quiesce_failed` or `quiesce_unavailable`.
+    """
 
     quiesced: bool
 
--- a/heronreel/fleet/process_supervisor.py
+++ b/heronreel/fleet/process_supervisor.py
@@ -19,7 +19,7 @@
 from heronreel.fleet import processes
 from heronreel.fleet.agent_settings import AgentSettings, InstanceTable
 from heronreel.fleet.errors import UnknownVersionError
-from heronreel.fleet.instance_lifecycle import InstanceLifecycle
+from heronreel.fleet.instance_lifecycle import DRAIN_STAGES, InstanceLifecycle
 from heronreel.fleet.lifecycle_messages import (
     Action,
     Actions,
@@ -37,7 +37,8 @@
 from heronreel.fleet.model import Instance, InstanceKind
 from heronreel.store import Store, StoreError
 
-HEALTH_CHECK_INTERVAL_S = 0.1  # health checks run while a process is starting
+HEALTH_CHECK_INTERVAL_S = 0.1  # health checks run while a process is starting or draining
+CHECKED_STAGES = (ProcessStage.STARTING, *DRAIN_STAGES)
 HTTP_TIMEOUT_S = 1.0
 PERSIST_RETRY_S = 0.5
 EXIT_POLL_S = 0.002  # interval of checks whether a killed orphan process has exited
@@ -283,30 +284,38 @@
         self._carry_out(self.lifecycle.exited(self.now(), reason))
 
     async def _check_health(self) -> None:
-        """Report a starting process as ready once its health check succeeds."""
-        process = self.lifecycle.process
-        if self.lifecycle.stage is not ProcessStage.STARTING or process is None:
+        """Report a starting process that is ready, and whether a draining one still takes clients."""
+        process, stage = self.lifecycle.process, self.lifecycle.stage
+        if process is None or stage not in CHECKED_STAGES:
             return
+        asked_at = self.now()
         try:
             async with self.session.get(f"http://{self.instance.listen}/_health") as response:
-                if response.status == 200:
-                    self._carry_out(self.lifecycle.ready(self.now(), process.version))
+                is_healthy = response.status == 200
         except (aiohttp.ClientError, TimeoutError, OSError):
             return
+        if process != self.lifecycle.process:
+            return
+        if stage is not ProcessStage.STARTING:
+            self._carry_out(self.lifecycle.health_checked(asked_at, self.now(), is_healthy))
+        elif is_healthy:
+            self._carry_out(self.lifecycle.ready(self.now(), process.version))
 
     async def _set_quiesced(self, quiesced: bool) -> None:
-        """Quiesce or resume the process through its management address.
-
-        An instance without a management address counts as drained immediately, because its graceful shutdown
-        drains it.
-        """
+        """Quiesce or resume the process through its management address, and report the result."""
         if not self.instance.mgmt:
-            if quiesced:
-                self._carry_out(self.lifecycle.drained(self.now()))
+            self._carry_out(self.lifecycle.quiesce_unavailable(self.now()))
             return
-        action = "quiesce" if quiesced else "resume"
+        action, process = "quiesce" if quiesced else "resume", self.lifecycle.process
         try:
             async with self.session.post(f"http://{self.instance.mgmt}/admin/{action}") as response:
-                log.info(action, instance=self.instance.name, status=response.status)
+                status = response.status
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             log.error(f"{action} failed", instance=self.instance.name, error=str(error))
+            self._carry_out(self.lifecycle.quiesce_failed(self.now(), quiesced))
+            return
+        log.info(action, instance=self.instance.name, status=status)
+        if 200 <= status < 300 and process == self.lifecycle.process:
+            self._carry_out(self.lifecycle.quiesce_confirmed(self.now(), quiesced))
+        else:
+            self._carry_out(self.lifecycle.quiesce_failed(self.now(), quiesced))
--- a/tests/fleet/agent_harness.py
+++ b/tests/fleet/agent_harness.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import os
 import signal
 import sys
@@ -93,6 +94,18 @@
 {instances}
 """
 
+    def use_managed_proxy(self, name: str, admin_address: str, config: dict[str, Any]) -> None:
+        """Add the version `managed`: the proxy of the deploy file, with an admin API for the agent."""
+        file = self.folder / f"{name}.json"
+        file.write_text(json.dumps(config))
+        variables = f"LB_NAME={name} LB_LISTEN={{listen}} LB_CONFIG={file}"
+        run = ["/bin/sh", "-c", f"{variables} exec {sys.executable} -m heronreel.proxy"]
+        version = f'[[versions]]\nname = "managed"\nrun = {json.dumps(run)}\n[[instances]]'
+        settings = self.settings.replace("[[instances]]", version, 1)
+        instance = f'name = "{name}"\n'
+        self.settings = settings.replace(instance, f'{instance}mgmt = "{admin_address}"\n')
+        self._agent_file().write_text(self.settings)
+
     async def start(self, **env: str) -> ManagedProcess:
         """Start the agent and wait until it accepts commands."""
         process = await self.harness.start_process(
--- a/tests/fleet/test_agent_processes.py
+++ b/tests/fleet/test_agent_processes.py
@@ -5,7 +5,7 @@
 import asyncio
 import os
 import signal
-from contextlib import suppress
+from contextlib import AsyncExitStack, suppress
 from pathlib import Path
 
 import aiohttp
@@ -17,8 +17,9 @@
 from heronreel.fleet.budget_client import read_snapshot
 from heronreel.routes.reader import ConfigFileError
 from tests.fleet.agent_harness import AgentHarness, wait_until_serving
-from tests.support.loopback import Backend
+from tests.support.loopback import Backend, Discovery, Listener, configuration, entry, reserved_port
 
+LOST_CONTACT_S = 1.5
 CRASH_POINTS = ("command", "commanded", "persist", "persisted", "start", "started")
 
 
@@ -36,6 +37,7 @@
                     assert await agent.command("p1", 4, 9, "stopped") == 409  # an older fencing token
                     assert await agent.command("p3", 6, 1, "stopped") == 404
                     assert await agent.command("p1", 6, 1, "running", "none") == 400
+                    assert await agent.command("p1", 6, 1, "drained") == 400  # it has no management address
                     reported = await wait_until_serving(client, 2)
                     assert reported["proxy/p1"].fencing_token == 5
                     observation = reported["proxy/p1"].observation
@@ -96,6 +98,73 @@
     asyncio.run(run())
 
 
+class AdminRelay(Listener):
+    """Passes calls on to a proxy's admin API, unless there is a `fault`: they get no response, or a 503."""
+
+    def __init__(self, target_port: int) -> None:
+        super().__init__(self._relay)
+        self.target_port = target_port
+        self.fault = ""
+
+    async def _relay(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        fault = self.fault
+        if fault == "lost call":
+            return
+        call = await reader.readuntil(b"\r\n\r\n")
+        response = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+        if fault != "refused call":
+            target_reader, target_writer = await asyncio.open_connection("127.0.0.1", self.target_port)
+            target_writer.write(call)
+            response = await target_reader.read()
+            target_writer.close()
+        if fault != "lost response":
+            writer.write(response)
+            await writer.drain()
+
+
+async def is_taking_clients(port: int) -> bool:
+    """Return whether the health check of a proxy succeeds."""
+    async with aiohttp.ClientSession() as session, session.get(f"http://127.0.0.1:{port}/_health") as answer:
+        return answer.status == 200
+
+
+@pytest.mark.parametrize("fault", ["lost call", "refused call", "lost response"])
+def test_a_proxy_is_reported_as_out_of_service_only_once_it_takes_no_clients(
+    tmp_path: Path, fault: str
+) -> None:
+    """A proxy whose call to quiesce was lost was reported as drained, and the call was not repeated."""
+
+    async def run() -> None:
+        async with Harness(tmp_path, ("a",), 3) as harness, AsyncExitStack() as stack:
+            backend = await stack.enter_async_context(Backend())
+            discovery = await stack.enter_async_context(Discovery(entry("b1", backend.address)))
+            admin_port = stack.enter_context(reserved_port())
+            relay = await stack.enter_async_context(AdminRelay(admin_port))
+            agent = stack.enter_context(AgentHarness(harness, tmp_path, backend.address, names=("p1",)))
+            port = agent.ports["p1"]
+            config = configuration(discovery.address, *discovery.entries)
+            agent.use_managed_proxy("p1", relay.address, config | {"mgmt": f"127.0.0.1:{admin_port}"})
+            await agent.start()
+            assert await agent.command("p1", 5, 1, "running", "managed") == 200
+            process = (await agent.wait_for("p1", condition="serving"))["process"]
+            stack.callback(os.kill, process["pid"], signal.SIGKILL)
+            relay.fault = fault
+            assert await agent.command("p1", 5, 2, "drained") == 200
+            async with asyncio.timeout(LOST_CONTACT_S + 10.0):
+                for _ in range(int(LOST_CONTACT_S / 0.05)):
+                    status = (await agent.status())["p1"]["condition"]
+                    assert status != "out" or not await is_taking_clients(port)
+                    await asyncio.sleep(0.05)
+            relay.fault = ""
+            await agent.wait_for("p1", condition="out")
+            assert not await is_taking_clients(port)
+            assert await agent.command("p1", 5, 3, "running") == 200
+            after = await agent.wait_for("p1", condition="serving")
+            assert await is_taking_clients(port) and after["process"] == process
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize(
     ("valid", "invalid", "expected_problem"),
     [
--- a/tests/fleet/test_instance_lifecycle.py
+++ b/tests/fleet/test_instance_lifecycle.py
@@ -35,7 +35,8 @@
 class SimulatedMachine:
     """Simulates the disk and the processes of an agent that is killed at random times.
 
-    It records a problem if two processes run at the same time or an overtaken command is accepted.
+    It records a problem if two processes run at the same time, an overtaken command is accepted, or a process
+    that takes clients is reported as out of service.  Calls to quiesce it, and their responses, may be lost.
     """
 
     def __init__(self, seed: int, guards: LifecycleGuards | None = None) -> None:
@@ -50,9 +51,11 @@
         self.lifecycle = InstanceLifecycle(self.disk, self.now, TIMEOUTS, guards=guards)
         self.problems: list[str] = []
         self.actions: Actions = []
+        self.quiesced: set[ProcessIdentity] = set()
+        self.call: tuple[ProcessIdentity | None, bool] | None = None  # a call whose result is not known yet
 
     def kill_agent(self) -> None:
-        self.actions = []
+        self.actions, self.call = [], None
         process = self.disk.process
         is_alive = process is not None and self.alive.get(process.pid) == process
         self.lifecycle = InstanceLifecycle(self.disk, self.now, TIMEOUTS, alive=is_alive, guards=self.guards)
@@ -77,7 +80,10 @@
             elif isinstance(action, CommandResult) and action.accepted:
                 self._check_accepted()
             elif isinstance(action, SetQuiesced):
-                assert self.lifecycle.stage in (ProcessStage.DRAINING, ProcessStage.STARTING)
+                resumed_in = (ProcessStage.STARTING, ProcessStage.READY)
+                expected = (ProcessStage.DRAINING,) if action.quiesced else resumed_in
+                assert self.lifecycle.stage in expected and self.call is None
+                self.call = self.lifecycle.process, action.quiesced
 
     def _start_process(self, version: str) -> None:
         self.started_count += 1
@@ -98,10 +104,34 @@
             self.problems.append(f"{self.last_sent} was accepted after {self.greatest_accepted}")
         self.greatest_accepted = max(self.greatest_accepted, self.last_sent)
 
+    def _end_call(self) -> None:
+        """Execute the pending call and report its result, unless either is lost."""
+        if self.call is None:
+            return
+        (process, quiesced), self.call = self.call, None
+        is_executed, is_answered = self.rng.random() < 0.7, self.rng.random() < 0.7
+        if process is not None and is_executed:
+            self.quiesced = self.quiesced | {process} if quiesced else self.quiesced - {process}
+        if is_executed and is_answered and process == self.lifecycle.process:
+            self.carry_out(self.lifecycle.quiesce_confirmed(self.now, quiesced))
+        else:
+            self.carry_out(self.lifecycle.quiesce_failed(self.now, quiesced))
+
+    def _check_condition(self) -> None:
+        process = self.lifecycle.process
+        is_draining = self.lifecycle.stage in (ProcessStage.DRAINING, ProcessStage.DRAINED)
+        is_out = self.lifecycle.condition is Condition.OUT_OF_SERVICE
+        if is_draining and is_out and process not in self.quiesced:
+            self.problems.append(f"{process} takes clients and is reported as out of service")
+
     def step(self) -> None:
-        """Advance the time and apply a random event."""
+        """Advance the time, apply a random event and check the reported condition."""
+        self._apply_random_event()
+        self._check_condition()
+
+    def _apply_random_event(self) -> None:
         self.now += self.rng.choice((0.1, 1.0, 6.0))
-        event = self.rng.randrange(6)
+        event = self.rng.randrange(7)
         if event == 0:
             fencing_token, sequence = self.rng.randrange(1, 5), self.rng.randrange(1, 4)
             desired_state = self.rng.choice(list(DesiredState))
@@ -117,7 +147,10 @@
         elif event == 2 and self.lifecycle.process is not None:
             self.carry_out(self.lifecycle.ready(self.now, self.lifecycle.process.version))
         elif event == 3:
-            self.carry_out(self.lifecycle.drained(self.now))
+            self._end_call()
+        elif event == 6 and self.lifecycle.process is not None:
+            takes_clients = self.lifecycle.process not in self.quiesced
+            self.carry_out(self.lifecycle.health_checked(self.now, self.now, takes_clients))
         elif event == 4 and self.rng.random() < 0.3:
             self.kill_agent()
         else:
@@ -126,15 +159,17 @@
 
 @settings(max_examples=150, deadline=None)
 @given(st.integers(0, 1 << 30))
-def test_no_second_process_is_started_and_no_overtaken_command_is_accepted(seed: int) -> None:
+def test_one_process_runs_no_overtaken_command_is_accepted_and_a_drain_is_reported_truthfully(
+    seed: int,
+) -> None:
     machine = SimulatedMachine(seed)
     for _ in range(80):
         machine.step()
     assert machine.problems == []
 
 
-@pytest.mark.parametrize("guard", ["durable", "ordered", "single_process"])
-def test_without_a_guard_an_old_command_is_accepted_or_a_second_process_is_started(guard: str) -> None:
+@pytest.mark.parametrize("guard", LifecycleGuards._fields)
+def test_without_a_guard_a_problem_is_found(guard: str) -> None:
     for seed in range(300):
         machine = SimulatedMachine(seed, LifecycleGuards(**{guard: False}))
         for _ in range(80):
@@ -145,6 +180,11 @@
     raise AssertionError(f"no run without the guard {guard} found a violation")
 
 
+def condition_of(lifecycle: InstanceLifecycle) -> Condition:
+    """Return the condition; a property would count as unchanged for the type checker."""
+    return lifecycle.condition
+
+
 def running_lifecycle(version: str = "v1") -> InstanceLifecycle:
     """A lifecycle whose process serves, after one command under fencing token 1."""
     lifecycle = InstanceLifecycle(PersistedState(), 0.0, TIMEOUTS)
@@ -175,8 +215,13 @@
     lifecycle.persisted(2.0)
     overtaken = Command(5, 2, DesiredState.STOPPED)
     assert lifecycle.command(2.0, overtaken) == [CommandResult(False, 5, 0)]
+    # the process may be quiesced by a call that is under way, whatever its health check said
+    assert lifecycle.stage is ProcessStage.STARTING and lifecycle.ready(2.0, "v1") == []
+    assert lifecycle.observe().condition is Condition.UNKNOWN
+    assert lifecycle.quiesce_confirmed(2.0, True) == [SetQuiesced(False)]
+    assert lifecycle.quiesce_confirmed(2.0, False) == []
     assert lifecycle.stage is ProcessStage.STARTING and lifecycle.ready(2.0, "v1") == []
-    assert lifecycle.observe() == (1, Condition.SERVING, 5)
+    assert lifecycle.observe() == (2, Condition.SERVING, 5)
 
 
 def test_restarts_back_off_and_a_stable_process_resets_the_backoff() -> None:
@@ -186,7 +231,7 @@
     for _ in range(9):
         lifecycle.exited(now, "crashed")
         lifecycle.persisted(now)
-        assert lifecycle.condition is Condition.FAILED
+        assert condition_of(lifecycle) is Condition.FAILED
         backoffs.append(lifecycle.wake() - now)
         now = lifecycle.wake()
         assert lifecycle.tick(now) == [StartProcess("v1")]
@@ -205,7 +250,10 @@
     assert old is not None
     lifecycle.command(10.0, Command(2, 1, DesiredState.RUNNING, "v2"))
     _, quiesce = lifecycle.persisted(10.0)
-    assert quiesce == SetQuiesced(True) and lifecycle.condition is Condition.OUT_OF_SERVICE
+    assert quiesce == SetQuiesced(True) and condition_of(lifecycle) is Condition.UNKNOWN
+    assert (
+        lifecycle.quiesce_confirmed(10.1, True) == [] and condition_of(lifecycle) is Condition.OUT_OF_SERVICE
+    )
     assert lifecycle.tick(14.0) == []
     # the process did not report that it is drained
     assert lifecycle.tick(15.0) == [SignalProcess(old, False)]
@@ -221,11 +269,60 @@
     assert lifecycle.tick(26.0) == [SignalProcess(process, False)]  # the process was not ready in time
 
 
+def test_a_call_to_quiesce_is_repeated_and_the_process_is_not_out_of_service_before_it_is_confirmed() -> None:
+    """A process whose call to quiesce was lost was reported as drained while it took clients."""
+    lifecycle = running_lifecycle()
+    lifecycle.command(2.0, Command(2, 1, DesiredState.DRAINED))
+    lifecycle.persisted(2.0)
+    assert lifecycle.tick(2.2) == []  # the result is not known yet
+    assert lifecycle.quiesce_failed(3.0, True) == [] and condition_of(lifecycle) is Condition.UNKNOWN
+    assert lifecycle.health_checked(3.1, 3.1, True) == [] and condition_of(lifecycle) is Condition.SERVING
+    assert lifecycle.wake() == 3.5 and lifecycle.tick(3.5) == [SetQuiesced(True)]
+    assert (
+        lifecycle.quiesce_confirmed(3.6, True) == [] and condition_of(lifecycle) is Condition.OUT_OF_SERVICE
+    )
+    # a health check that was sent before the confirmation
+    assert (
+        lifecycle.health_checked(3.5, 3.7, True) == [] and condition_of(lifecycle) is Condition.OUT_OF_SERVICE
+    )
+    # somebody else resumed the process
+    assert lifecycle.health_checked(4.0, 4.1, True) == [SetQuiesced(True)]
+    assert condition_of(lifecycle) is Condition.SERVING
+
+
+def test_a_call_to_resume_is_repeated() -> None:
+    lifecycle = running_lifecycle()
+    lifecycle.command(2.0, Command(2, 1, DesiredState.DRAINED))
+    lifecycle.persisted(2.0)
+    lifecycle.quiesce_confirmed(2.1, True)
+    lifecycle.command(3.0, Command(2, 2, DesiredState.RUNNING))
+    assert lifecycle.persisted(3.0)[1:] == [SetQuiesced(False)]
+    assert lifecycle.quiesce_failed(4.0, False) == [] and lifecycle.tick(4.5) == [SetQuiesced(False)]
+
+
+def test_a_process_that_can_not_be_quiesced_is_not_reported_as_out_of_service() -> None:
+    lifecycle = running_lifecycle()
+    lifecycle.command(2.0, Command(2, 1, DesiredState.DRAINED))
+    lifecycle.persisted(2.0)
+    assert lifecycle.quiesce_unavailable(2.1) == [] and condition_of(lifecycle) is Condition.UNKNOWN
+    assert lifecycle.health_checked(2.2, 2.2, True) == [] and condition_of(lifecycle) is Condition.SERVING
+
+
+def test_a_restarted_agent_keeps_a_drained_process_and_confirms_that_it_is_quiesced() -> None:
+    state = PersistedState(3, 1, DesiredState.DRAINED, "v1", ProcessIdentity(7, 99, "v1"))
+    lifecycle = InstanceLifecycle(state, 0.0, TIMEOUTS, alive=True)
+    assert condition_of(lifecycle) is Condition.UNKNOWN and lifecycle.tick(0.0) == [SetQuiesced(True)]
+    assert (
+        lifecycle.quiesce_confirmed(0.1, True) == [] and condition_of(lifecycle) is Condition.OUT_OF_SERVICE
+    )
+    assert lifecycle.tick(90.0) == []
+
+
 def test_a_restarted_agent_takes_over_its_own_process_and_no_other() -> None:
     state = PersistedState(3, 1, DesiredState.RUNNING, "v1", ProcessIdentity(7, 99, "v1"))
     taken_over = InstanceLifecycle(state, 0.0, TIMEOUTS, alive=True)
     assert taken_over.tick(0.0) == [] and taken_over.ready(0.0, "v1") == []
-    assert taken_over.condition is Condition.SERVING
+    assert condition_of(taken_over) is Condition.SERVING
     # the pid is unused or belongs to another process
     restarted = InstanceLifecycle(state, 0.0, TIMEOUTS, alive=False)
     assert restarted.tick(0.0) == [StartProcess("v1")]
--- a/tests/fleet/test_rolling_operations.py
+++ b/tests/fleet/test_rolling_operations.py
@@ -42,6 +42,7 @@
     PersistedState,
     ProcessIdentity,
     ProcessStage,
+    SetQuiesced,
     StartProcess,
 )
 from heronreel.fleet.model import Condition, Instance, InstanceKind, OperationKind
@@ -70,6 +71,8 @@
         self.lifecycle = InstanceLifecycle(state, 0.0, alive=True)
         self.lifecycle.ready(0.0, "1")
         self.has_claim = False
+        self.is_quiesced = False  # whether the process has been quiesced
+        self.call: bool | None = None  # a call to quiesce or resume it whose result is not known yet
         self.was_ready = False  # whether the process served after the last command became durable
         self.observed = self._observe()
         self.outcome = ""
@@ -94,9 +97,12 @@
             elif isinstance(action, StartProcess):
                 self.pid += 1
                 process = ProcessIdentity(self.pid, self.pid, action.version)
+                self.is_quiesced, self.call = False, None
                 self._carry_out_lifecycle(self.lifecycle.started(self.now, process))
             elif isinstance(action, CommandResult):
                 self.result = action
+            elif isinstance(action, SetQuiesced):
+                self.call = action.quiesced
         if self.lifecycle.stage is ProcessStage.READY:
             self.was_ready = True
 
@@ -106,10 +112,22 @@
             self._carry_out_lifecycle(lifecycle.tick(self.now))
         elif lifecycle.stage in (ProcessStage.TERMINATING, ProcessStage.KILLED) or self.random.random() < 0.1:
             self._carry_out_lifecycle(lifecycle.exited(self.now, "gone"))
-        elif lifecycle.stage is ProcessStage.STARTING:
+        elif lifecycle.stage is ProcessStage.STARTING and self.call is None and not self.is_quiesced:
             self._carry_out_lifecycle(lifecycle.ready(self.now, process.version))
-        elif lifecycle.stage is ProcessStage.DRAINING:
-            self._carry_out_lifecycle(lifecycle.drained(self.now))
+        else:
+            self._end_call()
+
+    def _end_call(self) -> None:
+        """Execute the pending call and report its result, unless either is lost."""
+        if self.call is None:
+            self._carry_out_lifecycle(self.lifecycle.tick(self.now))
+            return
+        quiesced, self.call = self.call, None
+        if self.random.random() < 0.5:
+            self._carry_out_lifecycle(self.lifecycle.quiesce_failed(self.now, quiesced))
+            return
+        self.is_quiesced = quiesced
+        self._carry_out_lifecycle(self.lifecycle.quiesce_confirmed(self.now, quiesced))
 
     def _carry_out_operation(self, actions: list[Any]) -> None:
         for action in actions:
@@ -162,6 +180,8 @@
                 ProcessStage.NONE,
                 ProcessStage.STARTING,
             )
+            is_up = self.lifecycle.stage in (ProcessStage.DRAINING, ProcessStage.DRAINED)
+            assert self.is_quiesced or not is_up, "drained was reported, but the process takes clients"
 
     def run(self) -> str:
         """Apply random events until there is an outcome; return "" if there is none after 600 events."""
