--- a/heronreel/proxy/client_connection.py
+++ b/heronreel/proxy/client_connection.py
@@ -113,13 +113,15 @@
             self.arrival.check()
             self.listener.disconnect_watch.add(self)
         else:
+            self.arrival.resume()
             self.listener.disconnect_watch.discard(self)
 
     def check_paused(self) -> None:
         """Look at what has happened to the connection since reading was paused.
 
         It is closed if its client has disconnected while it waits for a backend's response.  The time of a
-        request counts once the rest of its body has arrived, also if no backend takes it.
+        request counts once the rest of its body has arrived, also if no backend takes it.  If the rest may
+        wait in the client's kernel, the request ends when its time would be over.
         """
         if self.request and not self.request.streaming and self.has_disconnected():
             return
@@ -129,6 +131,10 @@
             arrived_at = self.arrival.complete_since(missing, MAX_BODY_PAUSE_S)
             if arrived_at is not None:
                 self.listener.dispatcher.upload_arrived(self.request, arrived_at)
+                return
+            written_at = self.arrival.may_be_written_since(missing)
+            if written_at is not None:
+                self.listener.dispatcher.upload_may_have_arrived(self.request, written_at)
 
     def is_being_served(self) -> bool:
         """Return whether the client waits for a response or still takes one."""
@@ -449,7 +455,9 @@
         self.upload, self.head = None, None
         upload.finish()
         if self.request:
-            self.listener.dispatcher.upload_finished(self.request, self.arrived_at)
+            written_at = self.arrival.may_be_written_since(0)
+            arrived_at = self.arrived_at if written_at is None else min(written_at, self.arrived_at)
+            self.listener.dispatcher.upload_finished(self.request, arrived_at)
 
     def _serve(self, read: ReadRequest) -> None:
         dispatcher = self.listener.dispatcher
--- a/heronreel/proxy/dispatcher.py
+++ b/heronreel/proxy/dispatcher.py
@@ -348,6 +348,16 @@
             request.timer.cancel()
         request.timer = self.loop.call_later(max(0.0, request.deadline - now), self._on_deadline, request)
 
+    def upload_may_have_arrived(self, request: Request, written_at: float) -> None:
+        """End a request whose client may have written all of its upload so long ago that its time is over.
+
+        Until then nothing is decided: more input may show that the client still writes.
+        """
+        if request.finished or request.streaming or not request.upload or request.upload_has_arrived:
+            return
+        if time.monotonic() >= min(written_at + request.upload.timeout_ms / 1000.0, self.answer_by):
+            self.time_out(request)
+
     def upload_finished(self, request: Request, arrived_at: float) -> None:
         """Start the timeouts of the attempts when the last byte of a request's upload was read.
 
--- a/tests/proxy/test_paused_reading.py
+++ b/tests/proxy/test_paused_reading.py
@@ -44,6 +44,10 @@
 # Just under a multiple of what the event loop reads at once, at a backend that reads slowly.
 LENGTHS_AT_A_SLOW_BACKEND = range(2 * MB - 1_000, 4 * MB, 256_000)
 READ_INTERVAL_S = 0.005
+# What a slow client writes after the rest of its body, in all longer than the deadline of 1.5 s.
+SLOW_PIECES = 8
+SLOW_PIECE_BYTES = 100_000
+SLOW_PIECE_INTERVAL_S = 0.5
 RESPONSE_TIMEOUT_S = 10.0  # a connection that is not read again never responds
 DISCONNECT_TIMEOUT_S = 5.0
 
@@ -188,29 +192,85 @@
     run(scenario())
 
 
-@pytest.mark.parametrize("size", [6 * MB, 8 * MB])
+def long_request(framing: str, size: int, deadline_ms: int) -> bytes:
+    """Return a request with a long body, whose last byte is the last one of the message."""
+    extra = f"X-Deadline-Ms: {deadline_ms}\r\n"
+    if framing == "length":
+        return request("a1", body=bytes(size), extra=extra)
+    head = request("a1", body=b"", extra=extra).replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+    return head + (b"10000\r\n" + bytes(0x10000) + b"\r\n") * (size // 0x10000) + b"0\r\n\r\n"
+
+
+def reading_backend(pause_s: float, size: int, interval_s: float) -> Listener:
+    """Return a backend that pauses, then reads pieces of a chunked body and responds to its last chunk."""
+
+    async def read(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(pause_s)
+        data = b""
+        while not data.endswith(b"\r\n0\r\n\r\n") and (piece := await reader.read(size)):
+            data = data[-8:] + piece
+            await asyncio.sleep(interval_s)
+        writer.write(ok(b"whole"))
+
+    return Listener(read)
+
+
+@pytest.mark.parametrize("deadline_ms", [500, 1500])
+@pytest.mark.parametrize("backend", ["reads little", "reads nothing"])
+@pytest.mark.parametrize("framing", ["length", "chunked"])
+@pytest.mark.parametrize("size", [1 * MB, 3 * MB, 6 * MB, 8 * MB])
 def test_a_body_that_a_backend_takes_too_slowly_is_answered_when_its_time_is_over(
-    tmp_path: Path, size: int
+    tmp_path: Path, size: int, framing: str, backend: str, deadline_ms: int
 ) -> None:
     """The body's last bytes wait in the kernel, as the proxy can't pass on what is before them."""
-
-    async def read_very_slowly(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        while await reader.read(6400):
-            await asyncio.sleep(0.1)
+    pause_s = 0.0 if backend == "reads little" else RESPONSE_TIMEOUT_S
 
     async def scenario() -> None:
         loop = asyncio.get_running_loop()
-        async with proxy_with_backend(tmp_path, Listener(read_very_slowly), memory_mb=64) as proxy:
+        slow_backend = reading_backend(pause_s, 6400, 0.1)
+        async with proxy_with_backend(tmp_path, slow_backend, memory_mb=64) as proxy:
             with socket.socket() as connection:
                 connection.setblocking(False)
                 await loop.sock_connect(connection, (proxy.host, proxy.port))
-                whole = request("a1", body=bytes(size), extra="X-Deadline-Ms: 1500\r\n")
-                await loop.sock_sendall(connection, whole)
+                await loop.sock_sendall(connection, long_request(framing, size, deadline_ms))
                 written_at = time.monotonic()
                 answer = await loop.sock_recv(connection, 1024)
                 took_s = time.monotonic() - written_at
                 print(f"{answer[:12]!r} {took_s:.2f} s after the last byte")
                 assert answer[9:12] in (b"503", b"504")
-                assert took_s <= 1.5 + 0.5
+                assert took_s <= deadline_ms / 1000.0 + 0.5
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("pause_s", [0.0, 1.0])
+def test_a_long_chunked_body_at_a_backend_that_reads_it_in_time_is_served(
+    tmp_path: Path, pause_s: float
+) -> None:
+    """The client's time does not begin with a body that has not arrived by far."""
+
+    async def scenario() -> None:
+        backend = reading_backend(pause_s, 65536, READ_INTERVAL_S)
+        async with proxy_with_backend(tmp_path, backend, memory_mb=64) as proxy:
+            reader, writer = await proxy.connect()
+            writer.write(long_request("chunked", 32 * MB, 1500))
+            assert await read_response(reader) == ("200", b"whole")
+
+    run(scenario())
+
+
+def test_the_time_of_a_client_that_writes_on_slowly_after_its_backend_paused_has_not_begun(
+    tmp_path: Path,
+) -> None:
+    async def scenario() -> None:
+        async with proxy_with_backend(tmp_path, reading_backend(1.0, 65536, 0.0), memory_mb=64) as proxy:
+            reader, writer = await proxy.connect()
+            whole = long_request("chunked", 8 * MB, 1500)
+            rest = len(whole) - SLOW_PIECES * SLOW_PIECE_BYTES
+            writer.write(whole[:rest])
+            for start in range(rest, len(whole), SLOW_PIECE_BYTES):
+                await asyncio.sleep(SLOW_PIECE_INTERVAL_S)
+                writer.write(whole[start : start + SLOW_PIECE_BYTES])
+            assert await read_response(reader) == ("200", b"whole")
 
     run(scenario())
