A failed look at another process of a proxy does not count as its end

`descriptors_in_use_elsewhere` and `memory_in_use_elsewhere` took a look at /proc that failed for 0, and 0 descriptors for "no other process": where no descriptor was free for a moment (EMFILE, ENFILE), a process lifted its limits, ended the exchange of request ids and deleted the ids of the other one. Read in the code and shown by the test, not seen in a run of an upgrade.

Change: only a process that has ended counts as 0; any other failure is raised, logged by the poll, and leaves what was known in force. Another process counts with its spare descriptors even if its folder may not be read.

Measured: the test failed before (nothing was raised) and passes.

--- a/heronreel/proxy/process_memory.py
+++ b/heronreel/proxy/process_memory.py
@@ -18,11 +18,23 @@
     peak: int
 
 
-def read_process_memory(process: int | None = None) -> ProcessMemory:
-    """Return the memory of a process, by default of this one, from its `/proc/PID/status` (proc(5))."""
+def read_process_memory() -> ProcessMemory:
+    """Return the memory of this process, or 0 if it can't be read at present."""
     try:
-        status = Path(f"/proc/{process or 'self'}/status").read_bytes()
-        found = dict(_STATUS_LINES.findall(status))
+        return look_up_process_memory("self")
     except OSError:
         return ProcessMemory(0, 0)
+
+
+def look_up_process_memory(process: int | str) -> ProcessMemory:
+    """Return the memory of a process from its `/proc/PID/status` (proc(5)), or 0 if it has ended.
+
+    Raises:
+        OSError: The memory can't be read at present.
+    """
+    try:
+        status = Path(f"/proc/{process}/status").read_bytes()
+    except (FileNotFoundError, ProcessLookupError):
+        return ProcessMemory(0, 0)
+    found = dict(_STATUS_LINES.findall(status))
     return ProcessMemory(int(found.get(b"VmRSS", 0)) * KB, int(found.get(b"VmHWM", 0)) * KB)
--- a/heronreel/proxy/shared_state.py
+++ b/heronreel/proxy/shared_state.py
@@ -19,7 +19,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from heronreel.proxy.process_memory import read_process_memory
+from heronreel.proxy.process_memory import look_up_process_memory
 from heronreel.proxy.shared_ids import SharedIdFiles
 
 POLL_INTERVAL_S = 0.1
@@ -119,14 +119,15 @@
         """Return how many descriptors the proxy's other processes use, with `SPARE_DESCRIPTORS` for each."""
         in_use = 0
         for process in self.other_processes():
+            in_use += SPARE_DESCRIPTORS
             # The process may have just ended, or this process may lack the permission to read the folder.
-            with suppress(OSError):
-                in_use += len(os.listdir(f"/proc/{process}/fd")) + SPARE_DESCRIPTORS
+            with suppress(FileNotFoundError, ProcessLookupError, PermissionError):
+                in_use += len(os.listdir(f"/proc/{process}/fd"))
         return in_use
 
     def memory_in_use_elsewhere(self) -> int:
         """Return the resident memory of the proxy's other processes in bytes."""
-        return sum(read_process_memory(process).resident for process in self.other_processes())
+        return sum(look_up_process_memory(process).resident for process in self.other_processes())
 
     def read(self) -> tuple[dict[str, Cordon], bool]:
         """Return the cordons by backend name, in force or released, and whether the proxy is quiesced."""
--- a/tests/proxy/test_admin_api.py
+++ b/tests/proxy/test_admin_api.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import json
+import os
 import signal
 import socket
 import subprocess
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 from pathlib import Path
 from typing import Any, ClassVar
@@ -20,7 +22,7 @@
 from heronreel.proxy.config import load
 from heronreel.proxy.dispatcher import Dispatcher
 from heronreel.proxy.request import RequestHead, ResponseWriter
-from heronreel.proxy.shared_state import Cordon, SharedState
+from heronreel.proxy.shared_state import SPARE_DESCRIPTORS, Cordon, SharedState
 from tests.support.loopback import (
     Backend,
     Discovery,
@@ -384,6 +386,35 @@
     run(scenario())
 
 
+def test_another_process_whose_use_can_not_be_read_does_not_count_as_ended(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A failed look lifted the limits and ended the exchange of request ids."""
+    shared = SharedState(tmp_path / "s")
+    with subprocess.Popen(["/bin/cat"], stdin=subprocess.PIPE) as process:
+        (tmp_path / "s" / f"process-{process.pid}").touch()
+        descriptors, memory = shared.descriptors_in_use_elsewhere(), shared.memory_in_use_elsewhere()
+        assert descriptors > SPARE_DESCRIPTORS and memory > 0
+        with monkeypatch.context() as patch, pytest.raises(OSError, match="too many"):
+            patch.setattr(os, "listdir", failing_for("/proc/", os.listdir))
+            shared.descriptors_in_use_elsewhere()
+        with monkeypatch.context() as patch, pytest.raises(OSError, match="too many"):
+            patch.setattr(Path, "read_bytes", failing_for("/proc/", Path.read_bytes))
+            shared.memory_in_use_elsewhere()
+    assert (shared.descriptors_in_use_elsewhere(), shared.memory_in_use_elsewhere()) == (0, 0)
+
+
+def failing_for(prefix: str, call: Callable[[Any], Any]) -> Callable[[Any], Any]:
+    """Return a function that fails as if no descriptor were free for paths with this prefix."""
+
+    def call_or_fail(path: Any) -> Any:
+        if str(path).startswith(prefix):
+            raise OSError(errno.EMFILE, "too many open files")
+        return call(path)
+
+    return call_or_fail
+
+
 def test_a_process_without_a_file_in_the_shared_folder_counts_until_it_ends(tmp_path: Path) -> None:
     """Some versions remove their file at SIGTERM and serve on."""
     shared = SharedState(tmp_path / "s")
