A process that has exited is no successor before its parent has taken note

Whether another process runs was asked with `kill(pid, 0)`, which succeeds for a process that has crashed and whose parent has not waited for it yet. Its predecessor took it for a successor at SIGTERM and stopped accepting, so that new connections wait in the backlog for nobody.

Change: the state in /proc/PID/stat decides; zombie and dead count as ended.

Measured: the test failed before (the exited process was listed) and passes.

--- a/heronreel/proxy/shared_state.py
+++ b/heronreel/proxy/shared_state.py
@@ -29,6 +29,7 @@
 PROCESS_PREFIX = "process-"
 DRAINING_PREFIX = "draining-"
 QUIESCED_FILE = "emptying"
+EXITED_STATES = (b"Z", b"X")  # zombie and dead
 
 
 @dataclass(slots=True, frozen=True)
@@ -161,13 +162,14 @@
 
 
 def _is_running(process: int) -> bool:
+    """Return whether a process runs; one that has exited may wait for long until its parent takes note."""
     try:
-        os.kill(process, 0)
-    except ProcessLookupError:
+        status = Path(f"/proc/{process}/stat").read_bytes()
+    except (FileNotFoundError, ProcessLookupError):
         return False
-    except PermissionError:
-        pass
-    return True
+    # The state follows the name in parentheses, which may hold any character (proc(5)).
+    state = status.rpartition(b")")[2].split()[0]
+    return state not in EXITED_STATES
 
 
 def _parse_cordon(text: bytes) -> Cordon | None:
--- a/tests/proxy/test_admin_api.py
+++ b/tests/proxy/test_admin_api.py
@@ -404,6 +404,17 @@
     assert (shared.descriptors_in_use_elsewhere(), shared.memory_in_use_elsewhere()) == (0, 0)
 
 
+def test_a_process_that_has_exited_is_no_successor_though_its_parent_has_not_taken_note(
+    tmp_path: Path,
+) -> None:
+    """A predecessor stopped accepting for a successor that had crashed."""
+    shared = SharedState(tmp_path / "s")
+    with subprocess.Popen(["/bin/cat"], stdin=subprocess.DEVNULL) as process:
+        (tmp_path / "s" / f"process-{process.pid}").touch()
+        os.waitid(os.P_PID, process.pid, os.WEXITED | os.WNOWAIT)
+        assert shared.other_serving_processes() == shared.other_processes() == []
+
+
 def failing_for(prefix: str, call: Callable[[Any], Any]) -> Callable[[Any], Any]:
     """Return a function that fails as if no descriptor were free for paths with this prefix."""
 
