The process that follows a quiesced one is resumed by its agent

Cause: the agent quiesces a process before it ends it. The proxy stores that in its shared folder, so that the process of an upgrade is quiesced too; the agent's next process is given the same `$TMPDIR` and starts quiesced. Its health check says no, which the agent takes for a process that does not start.

Change: the agent resumes a process that follows one that may have been quiesced, until the call is confirmed. The random runs of operations report the result of a call whose process has ended, as the supervisor does.

--- a/heronreel/fleet/instance_lifecycle.py
+++ b/heronreel/fleet/instance_lifecycle.py
@@ -94,6 +94,8 @@
         self.wanted_quiesced: bool | None = None  # what a call has to reach; None if no call is due
         self.quiesce_call_pending = False  # a call was made and its result is not known yet
         self.quiesce_call_due = now
+        # Whether the folder that processes of the instance share may say that it is quiesced.
+        self.may_start_quiesced = state.process is not None
         self.stage = ProcessStage.NONE
         if state.process is not None and alive and self.guards.single_process:
             self.stage = ProcessStage.STARTING  # until the process reports that it is ready
@@ -184,6 +186,8 @@
     def started(self, now: float, process: ProcessIdentity) -> Actions:
         """The process was started; its identity is persisted so that a restarted agent finds it."""
         self.is_quiesced = self.wanted_quiesced = None
+        if self.may_start_quiesced and self.durable_state.desired_state is DesiredState.RUNNING:
+            self._want_quiesced(False, now)
         self._enter(ProcessStage.STARTING, now)
         return self._persist(msgspec.structs.replace(self._latest_state(), process=process))
 
@@ -202,6 +206,7 @@
         """The process has confirmed that it is quiesced, or that it has resumed."""
         self.quiesce_call_pending = False
         self.is_quiesced, self.quiesced_since = quiesced, now
+        self.may_start_quiesced = quiesced
         if self.wanted_quiesced is quiesced:
             self.wanted_quiesced = None
         return self.tick(now)
@@ -324,6 +329,7 @@
         if self.wanted_quiesced is None or not self._needs_quiesce_call() or now < self.quiesce_call_due:
             return []
         self.quiesce_call_pending = True
+        self.may_start_quiesced = self.may_start_quiesced or self.wanted_quiesced
         return [SetQuiesced(self.wanted_quiesced)]
 
     def _is_desired(self, process: ProcessIdentity) -> bool:
--- a/tests/fleet/test_agent_processes.py
+++ b/tests/fleet/test_agent_processes.py
@@ -165,6 +165,36 @@
     asyncio.run(run())
 
 
+def test_a_proxy_that_was_quiesced_serves_after_its_restart_although_its_folder_is_kept(
+    tmp_path: Path,
+) -> None:
+    """The agent quiesced a proxy to restart it, and the next process was quiesced by what it had stored."""
+
+    async def run() -> None:
+        async with Harness(tmp_path, ("a",), 4) as harness, AsyncExitStack() as stack:
+            backend = await stack.enter_async_context(Backend())
+            discovery = await stack.enter_async_context(Discovery(entry("b1", backend.address)))
+            admin_port = stack.enter_context(reserved_port())
+            agent = stack.enter_context(AgentHarness(harness, tmp_path, backend.address, names=("p1",)))
+            config = configuration(discovery.address, *discovery.entries)
+            admin_address = f"127.0.0.1:{admin_port}"
+            agent.use_managed_proxy("p1", admin_address, config | {"mgmt": admin_address})
+            shared = tmp_path / "kept"
+            shared.mkdir()
+            await agent.start(TMPDIR=str(shared))
+            assert await agent.command("p1", 5, 1, "running", "managed") == 200
+            before = (await agent.wait_for("p1", condition="serving"))["process"]
+            assert await agent.command("p1", 5, 2, "drained") == 200
+            await agent.wait_for("p1", condition="out")
+            os.kill(before["pid"], signal.SIGKILL)
+            assert await agent.command("p1", 5, 3, "running") == 200
+            after = (await agent.wait_for("p1", condition="serving"))["process"]
+            stack.callback(os.kill, after["pid"], signal.SIGKILL)
+            assert after != before and await is_taking_clients(agent.ports["p1"])
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize(
     ("valid", "invalid", "expected_problem"),
     [
--- a/tests/fleet/test_instance_lifecycle.py
+++ b/tests/fleet/test_instance_lifecycle.py
@@ -300,6 +300,23 @@
     assert lifecycle.quiesce_failed(4.0, False) == [] and lifecycle.tick(4.5) == [SetQuiesced(False)]
 
 
+def test_the_process_that_follows_a_quiesced_one_is_resumed() -> None:
+    """Processes of an instance may share a folder that keeps them quiesced: the next one never served."""
+    lifecycle = running_lifecycle()
+    lifecycle.command(2.0, Command(2, 1, DesiredState.RUNNING, "v2"))
+    assert lifecycle.persisted(2.0)[1:] == [SetQuiesced(True)]
+    lifecycle.quiesce_confirmed(2.1, True)
+    lifecycle.tick(8.0)
+    lifecycle.exited(9.0, "terminated")
+    assert lifecycle.persisted(9.0) == [StartProcess("v2")]
+    lifecycle.started(9.0, ProcessIdentity(8, 100, "v2"))
+    assert lifecycle.persisted(9.0) == [SetQuiesced(False)]
+    lifecycle.quiesce_failed(9.1, False)  # it does not listen yet
+    assert lifecycle.tick(9.6) == [SetQuiesced(False)]
+    assert lifecycle.quiesce_confirmed(9.7, False) == [] and lifecycle.ready(9.8, "v2") == []
+    assert condition_of(lifecycle) is Condition.SERVING
+
+
 def test_a_process_that_can_not_be_quiesced_is_not_reported_as_out_of_service() -> None:
     lifecycle = running_lifecycle()
     lifecycle.command(2.0, Command(2, 1, DesiredState.DRAINED))
--- a/tests/fleet/test_rolling_operations.py
+++ b/tests/fleet/test_rolling_operations.py
@@ -97,7 +97,9 @@
             elif isinstance(action, StartProcess):
                 self.pid += 1
                 process = ProcessIdentity(self.pid, self.pid, action.version)
-                self.is_quiesced, self.call = False, None
+                if self.call is not None:
+                    quiesced, self.call = self.call, None
+                    self._carry_out_lifecycle(self.lifecycle.quiesce_failed(self.now, quiesced))
                 self._carry_out_lifecycle(self.lifecycle.started(self.now, process))
             elif isinstance(action, CommandResult):
                 self.result = action
